--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -14,7 +14,7 @@
     /// Compare expert map policies on a trace.
     #[bpaf(command)]
     Experts(#[bpaf(external(experts))] Experts),
-    /// Compare routing policies against fake runners in virtual time.
+    /// Compare routing policies against fake backends in virtual time.
     #[bpaf(command)]
     Routing(#[bpaf(external(routing))] Routing),
     /// Measure the whole path on loopback.
@@ -23,7 +23,7 @@
     /// Measure what one more of a thing costs.
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes))] Slopes),
-    /// Compare the rules that pick a runner for an adapter.
+    /// Compare the rules that pick a backend for an adapter.
     #[bpaf(command)]
     Placement(#[bpaf(external(placement))] Placement),
     /// Run one process of `path`.
--- a/bench/src/path.rs
+++ b/bench/src/path.rs
@@ -189,13 +189,13 @@
     list.show_now(Instances { instances: vec![live] });
     let list = list.serve(any).await?;
     let side = json!({
-        "name": "side", "place": "a", "runner": "api-1", "service": "api",
+        "name": "side", "failure_domain": "a", "backend": "api-1", "service": "api",
         "link_address": link.to_string(), "http_address": monitor.to_string(),
         "backend_url": format!("http://{plain}"), "list_url": format!("http://{list}"),
         "link_key_path": folder.join("link.key"), "traffic_threads": THREADS,
     });
     let entry = json!({
-        "name": "entry", "place": "a", "http_address": http.to_string(),
+        "name": "entry", "failure_domain": "a", "http_address": http.to_string(),
         "log_url": format!("http://{log}"), "list_url": format!("http://{list}"),
         "link_key_path": folder.join("link.key"), "traffic_threads": THREADS,
         "operator_token_sha256": [hash(OPERATOR)],
@@ -223,7 +223,7 @@
     let files = json!({
         "workspaces": [{ "name": "bench", "token_sha256": [hash(TOKEN)] }],
         "services": [{ "name": "api", "kind": "plain" }],
-        "runners": [{ "name": "api-1", "service": "api", "place": "a",
+        "backends": [{ "name": "api-1", "service": "api", "failure_domain": "a",
                       "side_address": side.to_string() }],
     });
     let change = json!({
--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -1,6 +1,6 @@
-//! Compares the rules by which a runner is picked to load an adapter.
+//! Compares the rules by which a backend is picked to load an adapter.
 
-use currantlink_core::ids::RunnerKey;
+use currantlink_core::ids::BackendKey;
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -116,7 +116,7 @@
         let size_mb = self.sizes_mb[adapter];
         let hosts: Vec<Host> = (0..HOSTS).map(|h| self.host(h)).collect();
         let host = match place(&hosts, size_mb, self.rule) {
-            Some(RunnerKey(host)) => host as usize,
+            Some(BackendKey(host)) => host as usize,
             None => self.make_room(size_mb),
         };
         self.held[host].insert(adapter, size_mb);
@@ -127,7 +127,7 @@
 
     fn host(&self, host: usize) -> Host {
         Host {
-            runner: RunnerKey(host as u32),
+            backend: BackendKey(host as u32),
             free_mb: HOST_MB - self.held[host].values().sum::<u32>(),
             load_tokens: self.load[host] as u64,
             holds: false,
--- a/bench/src/routing.rs
+++ b/bench/src/routing.rs
@@ -1,4 +1,4 @@
-//! Drives the routing and admission decisions against small fake runners in virtual time.
+//! Drives the routing and admission decisions against small fake backends in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -8,7 +8,7 @@
 use currantlink_core::gate::{Command, Gate, Limits, LinkId, Offer};
 use currantlink_core::health::Health;
 use currantlink_core::ids::{
-    CallKey, Incarnation, RequestId, RunnerKey, WorkspaceKey, WorkspaceName,
+    BackendKey, CallKey, Incarnation, RequestId, WorkspaceKey, WorkspaceName,
 };
 use currantlink_core::prefix::{BLOCK_BYTES, PrefixHashes, PrefixTable};
 use currantlink_core::router::{Candidate, choose};
@@ -24,7 +24,7 @@
 use crate::error::BenchError;
 use crate::output;
 
-const RUNNERS: usize = 12;
+const BACKENDS: usize = 12;
 const ENTRIES: usize = 4;
 const SLOTS: usize = 8;
 const US_PER_TOKEN: u64 = 1_000;
@@ -46,7 +46,7 @@
 const US_PER_S: f64 = 1e6;
 const MAX_LATENCY_US: u64 = 600_000_000;
 
-/// How a runner is chosen.
+/// How a backend is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
     Currantlink,
@@ -66,10 +66,10 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Scenario {
     name: &'static str,
-    /// Offered work over what all runners can do.
+    /// Offered work over what all backends can do.
     load: f64,
-    slow_runner: bool,
-    dying_runner: bool,
+    slow_backend: bool,
+    dying_backend: bool,
     shifting: bool,
     quiet_alone: bool,
 }
@@ -77,8 +77,8 @@
 const STEADY: Scenario = Scenario {
     name: "steady",
     load: 0.7,
-    slow_runner: false,
-    dying_runner: false,
+    slow_backend: false,
+    dying_backend: false,
     shifting: false,
     quiet_alone: false,
 };
@@ -86,8 +86,8 @@
 const SCENARIOS: [Scenario; 7] = [
     STEADY,
     Scenario { name: "shifting", shifting: true, ..STEADY },
-    Scenario { name: "slow-runner", slow_runner: true, ..STEADY },
-    Scenario { name: "dying-runner", dying_runner: true, ..STEADY },
+    Scenario { name: "slow-backend", slow_backend: true, ..STEADY },
+    Scenario { name: "dying-backend", dying_backend: true, ..STEADY },
     Scenario { name: "saturated", load: 1.4, ..STEADY },
     Scenario { name: "overload", load: 2.0, ..STEADY },
     Scenario { name: "quiet-alone", quiet_alone: true, ..STEADY },
@@ -104,27 +104,27 @@
     p50_ms: f64,
     p95_ms: f64,
     p99_ms: f64,
-    /// Busy time of the busiest runner over the mean.
+    /// Busy time of the busiest backend over the mean.
     max_over_mean: f64,
     cache_hits: f64,
     retries: u64,
     /// Least share in time of a workspace that sends little.
     quiet_in_time: f64,
     quiet_p99_ms: f64,
-    /// Work answered in time over what all runners can do.
+    /// Work answered in time over what all backends can do.
     goodput: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive,
-    Offer { request: usize, runner: usize },
-    Finish { request: usize, runner: usize, life: u64 },
-    Refused { request: usize, runner: usize, retry_after_ms: u64 },
-    Lost { request: usize, runner: usize },
-    Answer { request: usize, runner: usize },
-    Report { runner: usize },
-    Learn { runner: usize, tokens: u64, us_per_token: u64, received: [u64; ENTRIES] },
+    Offer { request: usize, backend: usize },
+    Finish { request: usize, backend: usize, life: u64 },
+    Refused { request: usize, backend: usize, retry_after_ms: u64 },
+    Lost { request: usize, backend: usize },
+    Answer { request: usize, backend: usize },
+    Report { backend: usize },
+    Learn { backend: usize, tokens: u64, us_per_token: u64, received: [u64; ENTRIES] },
     Tick,
     Fault,
     Shift,
@@ -137,12 +137,12 @@
     tokens: u32,
     began_us: u64,
     attempts: Attempts,
-    tried: Vec<RunnerKey>,
+    tried: Vec<BackendKey>,
     prefixes: PrefixHashes,
     settled: bool,
 }
 
-struct Runner {
+struct Backend {
     gate: Gate,
     dead: bool,
     slow: u64,
@@ -158,9 +158,9 @@
     budget: RetryBudget,
     reported: Vec<(u64, u64)>,
     reported_at_ms: Vec<u64>,
-    /// Work sent to each runner in all.
+    /// Work sent to each backend in all.
     sent: Vec<u64>,
-    /// Work that each runner had received from this entry as of its last report.
+    /// Work that each backend had received from this entry as of its last report.
     received: Vec<u64>,
     next: usize,
 }
@@ -174,7 +174,7 @@
     now_us: u64,
     order: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    runners: Vec<Runner>,
+    backends: Vec<Backend>,
     entries: Vec<Entry>,
     requests: Vec<Request>,
     names: Vec<WorkspaceName>,
@@ -214,8 +214,8 @@
     Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("the bounds are in order")
 }
 
-fn gate(runner: usize) -> Gate {
-    let incarnation = Incarnation(runner as u64 + 1);
+fn gate(backend: usize) -> Gate {
+    let incarnation = Incarnation(backend as u64 + 1);
     let limits = Limits {
         max_running: SLOTS,
         max_queued: 64,
@@ -224,13 +224,13 @@
         orphan_ms: 1_000,
         us_per_token: US_PER_TOKEN,
     };
-    Gate::new(incarnation, Minter::new(incarnation, "runner", [1; 32], 1_000), limits)
+    Gate::new(incarnation, Minter::new(incarnation, "backend", [1; 32], 1_000), limits)
 }
 
 impl Run {
     fn new(options: &Routing, scenario: Scenario, way: Way) -> Self {
-        let runners = (0..RUNNERS).map(|runner| Runner {
-            gate: gate(runner),
+        let backends = (0..BACKENDS).map(|backend| Backend {
+            gate: gate(backend),
             dead: false,
             slow: 1,
             busy_us: 0,
@@ -242,10 +242,10 @@
             health: Health::default(),
             prefixes: PrefixTable::default(),
             budget: RetryBudget::new(RETRY_PERCENT),
-            reported: vec![(0, US_PER_TOKEN); RUNNERS],
-            reported_at_ms: vec![0; RUNNERS],
-            sent: vec![0; RUNNERS],
-            received: vec![0; RUNNERS],
+            reported: vec![(0, US_PER_TOKEN); BACKENDS],
+            reported_at_ms: vec![0; BACKENDS],
+            sent: vec![0; BACKENDS],
+            received: vec![0; BACKENDS],
             next: 0,
         });
         let names: Vec<WorkspaceName> = (0..SPREAD_WORKSPACES)
@@ -260,7 +260,7 @@
             now_us: 0,
             order: 0,
             events: BinaryHeap::new(),
-            runners: runners.collect(),
+            backends: backends.collect(),
             entries: entries.collect(),
             requests: Vec::new(),
             sent_by: vec![0; names.len()],
@@ -280,9 +280,9 @@
         self.schedule(TICK_US, Event::Tick);
         self.schedule(self.end_us / 3, Event::Fault);
         self.schedule(self.end_us / 6, Event::Shift);
-        for runner in 0..RUNNERS {
-            let phase = REPORT_US * runner as u64 / RUNNERS as u64;
-            self.schedule(phase, Event::Report { runner });
+        for backend in 0..BACKENDS {
+            let phase = REPORT_US * backend as u64 / BACKENDS as u64;
+            self.schedule(phase, Event::Report { backend });
         }
         while let Some(Reverse((at_us, _, event))) = self.events.pop() {
             self.now_us = at_us;
@@ -304,27 +304,27 @@
         match event {
             Event::Arrive if over => {}
             Event::Arrive => self.arrive(),
-            Event::Offer { request, runner } => self.offer(request, runner),
-            Event::Finish { request, runner, life } => self.finish(request, runner, life),
-            Event::Refused { request, runner, retry_after_ms } => {
+            Event::Offer { request, backend } => self.offer(request, backend),
+            Event::Finish { request, backend, life } => self.finish(request, backend, life),
+            Event::Refused { request, backend, retry_after_ms } => {
                 let reason = currantlink_core::gate::Refusal::QueueFull;
-                let _ = runner;
+                let _ = backend;
                 self.ended(request, Ending::Refused { reason, retry_after_ms });
             }
-            Event::Lost { request, runner } => {
+            Event::Lost { request, backend } => {
                 let now_ms = self.now_ms();
                 let entry = &mut self.entries[self.requests[request].entry];
-                entry.health.failed(now_ms, RunnerKey(runner as u32));
+                entry.health.failed(now_ms, BackendKey(backend as u32));
                 self.ended(request, Ending::IncarnationLost);
             }
-            Event::Answer { request, runner } => self.answer(request, runner),
-            Event::Report { runner } => self.report_load(runner, over),
-            Event::Learn { runner, tokens, us_per_token, received } => {
+            Event::Answer { request, backend } => self.answer(request, backend),
+            Event::Report { backend } => self.report_load(backend, over),
+            Event::Learn { backend, tokens, us_per_token, received } => {
                 let at_ms = (self.now_us - self.lag_us) / US_PER_MS;
                 for (entry, received) in self.entries.iter_mut().zip(received) {
-                    entry.reported[runner] = (tokens, us_per_token);
-                    entry.reported_at_ms[runner] = at_ms;
-                    entry.received[runner] = received;
+                    entry.reported[backend] = (tokens, us_per_token);
+                    entry.reported_at_ms[backend] = at_ms;
+                    entry.received[backend] = received;
                 }
             }
             Event::Tick => self.tick(over),
@@ -339,7 +339,7 @@
 
     fn arrive(&mut self) {
         let quiet_only = self.scenario.quiet_alone;
-        let capacity = RUNNERS as f64 * SLOTS as f64 / (MEAN_TOKENS * US_PER_TOKEN as f64);
+        let capacity = BACKENDS as f64 * SLOTS as f64 / (MEAN_TOKENS * US_PER_TOKEN as f64);
         let share = if quiet_only { 1.0 - BUSY_SHARE } else { 1.0 };
         let rate = capacity * self.scenario.load * share;
         if let Ok(gaps) = Exp::new(rate) {
@@ -378,16 +378,16 @@
 
     fn route(&mut self, request: usize) {
         match self.pick(request) {
-            Some(runner) => {
+            Some(backend) => {
                 let r = &mut self.requests[request];
-                r.tried.push(RunnerKey(runner as u32));
+                r.tried.push(BackendKey(backend as u32));
                 let entry = &mut self.entries[r.entry];
-                entry.sent[runner] += u64::from(r.tokens);
+                entry.sent[backend] += u64::from(r.tokens);
                 let now_ms = self.now_us / US_PER_MS;
-                entry.prefixes.note(now_ms, RunnerKey(runner as u32), &r.prefixes);
-                self.schedule(NET_US, Event::Offer { request, runner });
+                entry.prefixes.note(now_ms, BackendKey(backend as u32), &r.prefixes);
+                self.schedule(NET_US, Event::Offer { request, backend });
             }
-            None => self.ended(request, Ending::NoRunner),
+            None => self.ended(request, Ending::NoBackend),
         }
     }
 
@@ -395,8 +395,8 @@
         let now_ms = self.now_ms();
         let r = &self.requests[request];
         let entry = &mut self.entries[r.entry];
-        let alive: Vec<usize> = (0..RUNNERS)
-            .filter(|&n| !self.runners[n].dead && !r.tried.contains(&RunnerKey(n as u32)))
+        let alive: Vec<usize> = (0..BACKENDS)
+            .filter(|&n| !self.backends[n].dead && !r.tried.contains(&BackendKey(n as u32)))
             .collect();
         if alive.is_empty() {
             return None;
@@ -417,14 +417,14 @@
                 let remaining_ms = r.attempts.remaining_ms(now_ms);
                 let draw = self.rng.random();
                 let choice = choose(&candidates, &r.tried, r.tokens, remaining_ms, draw);
-                choice.ok().map(|c| c.runner.0 as usize)
+                choice.ok().map(|c| c.backend.0 as usize)
             }
         }
     }
 
-    fn offer(&mut self, request: usize, runner: usize) {
-        if self.runners[runner].dead {
-            self.schedule(NET_US, Event::Lost { request, runner });
+    fn offer(&mut self, request: usize, backend: usize) {
+        if self.backends[backend].dead {
+            self.schedule(NET_US, Event::Lost { request, backend });
             return;
         }
         let now_ms = self.now_ms();
@@ -441,10 +441,10 @@
             work_tokens: r.tokens,
             ticket: None,
         };
-        self.runners[runner].received[r.entry] += u64::from(r.tokens);
-        self.runners[runner].calls.insert(key.request, request);
-        let commands = self.runners[runner].gate.offer(now_ms, offer);
-        self.obey(runner, commands);
+        self.backends[backend].received[r.entry] += u64::from(r.tokens);
+        self.backends[backend].calls.insert(key.request, request);
+        let commands = self.backends[backend].gate.offer(now_ms, offer);
+        self.obey(backend, commands);
     }
 
     fn key(&self, request: usize) -> CallKey {
@@ -458,14 +458,14 @@
         }
     }
 
-    fn obey(&mut self, runner: usize, commands: Vec<Command>) {
+    fn obey(&mut self, backend: usize, commands: Vec<Command>) {
         for command in commands {
             match command {
-                Command::Start(key) => self.start(runner, &key),
+                Command::Start(key) => self.start(backend, &key),
                 Command::Refuse(key, refused) => {
-                    if let Some(request) = self.runners[runner].calls.swap_remove(&key.request) {
+                    if let Some(request) = self.backends[backend].calls.swap_remove(&key.request) {
                         let retry_after_ms = refused.retry_after_ms;
-                        let event = Event::Refused { request, runner, retry_after_ms };
+                        let event = Event::Refused { request, backend, retry_after_ms };
                         self.schedule(NET_US, event);
                     }
                 }
@@ -474,12 +474,12 @@
         }
     }
 
-    fn start(&mut self, runner: usize, key: &CallKey) {
-        let Some(&request) = self.runners[runner].calls.get(&key.request) else {
+    fn start(&mut self, backend: usize, key: &CallKey) {
+        let Some(&request) = self.backends[backend].calls.get(&key.request) else {
             return;
         };
         let r = &self.requests[request];
-        let side = &mut self.runners[runner];
+        let side = &mut self.backends[backend];
         let prefix = (r.workspace, r.prompt);
         let hit = side.cached.shift_remove(&prefix);
         side.cached.insert(prefix);
@@ -492,26 +492,26 @@
         let time_us = time_us as u64 * side.slow;
         side.busy_us += time_us;
         let life = side.gate.incarnation().0;
-        self.schedule(time_us, Event::Finish { request, runner, life });
+        self.schedule(time_us, Event::Finish { request, backend, life });
     }
 
-    fn finish(&mut self, request: usize, runner: usize, life: u64) {
-        let side = &mut self.runners[runner];
+    fn finish(&mut self, request: usize, backend: usize, life: u64) {
+        let side = &mut self.backends[backend];
         if side.dead || side.gate.incarnation().0 != life {
-            self.schedule(NET_US, Event::Lost { request, runner });
+            self.schedule(NET_US, Event::Lost { request, backend });
             return;
         }
         let now_ms = self.now_us / US_PER_MS;
         let key = self.key(request);
-        let side = &mut self.runners[runner];
+        let side = &mut self.backends[backend];
         side.calls.swap_remove(&key.request);
         let share = u64::from(self.requests[request].tokens) * US_PER_TOKEN * side.slow;
         let commands = side.gate.finished(now_ms, &key, share);
-        self.obey(runner, commands);
-        self.schedule(NET_US, Event::Answer { request, runner });
+        self.obey(backend, commands);
+        self.schedule(NET_US, Event::Answer { request, backend });
     }
 
-    fn answer(&mut self, request: usize, runner: usize) {
+    fn answer(&mut self, request: usize, backend: usize) {
         let now_ms = self.now_ms();
         let r = &mut self.requests[request];
         if r.settled {
@@ -520,7 +520,7 @@
         r.settled = true;
         let took_us = self.now_us - r.began_us;
         let per_token = took_us as f64 / f64::from(r.tokens);
-        self.entries[r.entry].health.answered(now_ms, RunnerKey(runner as u32), per_token);
+        self.entries[r.entry].health.answered(now_ms, BackendKey(backend as u32), per_token);
         if took_us > DEADLINE_MS * US_PER_MS {
             return;
         }
@@ -548,37 +548,37 @@
         }
     }
 
-    fn report_load(&mut self, runner: usize, over: bool) {
-        let gate = &self.runners[runner].gate;
+    fn report_load(&mut self, backend: usize, over: bool) {
+        let gate = &self.backends[backend].gate;
         let (tokens, us_per_token) = (gate.work_tokens(), gate.us_per_token());
-        let received = self.runners[runner].received;
+        let received = self.backends[backend].received;
         let lag_us = self.lag_us;
-        self.schedule(lag_us, Event::Learn { runner, tokens, us_per_token, received });
+        self.schedule(lag_us, Event::Learn { backend, tokens, us_per_token, received });
         if !over {
-            self.schedule(REPORT_US, Event::Report { runner });
+            self.schedule(REPORT_US, Event::Report { backend });
         }
     }
 
     fn tick(&mut self, over: bool) {
         let now_ms = self.now_ms();
-        for runner in 0..RUNNERS {
-            let commands = self.runners[runner].gate.tick(now_ms);
-            self.obey(runner, commands);
+        for backend in 0..BACKENDS {
+            let commands = self.backends[backend].gate.tick(now_ms);
+            self.obey(backend, commands);
         }
-        if !over || self.runners.iter().any(|r| r.gate.queued() > 0 && !r.dead) {
+        if !over || self.backends.iter().any(|r| r.gate.queued() > 0 && !r.dead) {
             self.schedule(TICK_US, Event::Tick);
         }
     }
 
     fn fault(&mut self) {
-        if self.scenario.slow_runner {
-            self.runners[0].slow = SLOWDOWN;
+        if self.scenario.slow_backend {
+            self.backends[0].slow = SLOWDOWN;
         }
-        if self.scenario.dying_runner {
-            self.runners[0].dead = true;
-            let calls = std::mem::take(&mut self.runners[0].calls);
+        if self.scenario.dying_backend {
+            self.backends[0].dead = true;
+            let calls = std::mem::take(&mut self.backends[0].calls);
             for request in calls.into_values() {
-                self.schedule(NET_US, Event::Lost { request, runner: 0 });
+                self.schedule(NET_US, Event::Lost { request, backend: 0 });
             }
         }
     }
@@ -586,13 +586,13 @@
     fn report(&self, policy: &'static str) -> Report {
         let sent: u64 = self.sent_by.iter().sum();
         let in_time: u64 = self.in_time_by.iter().sum();
-        let busy: Vec<f64> = self.runners.iter().map(|r| r.busy_us as f64).collect();
+        let busy: Vec<f64> = self.backends.iter().map(|r| r.busy_us as f64).collect();
         let mean = busy.iter().sum::<f64>() / busy.len() as f64;
         let quiet = (0..SPREAD_WORKSPACES).filter(|&w| !is_busy(self.busy_from, w));
         let shares = quiet
             .filter(|&w| self.sent_by[w] > 0)
             .map(|w| self.in_time_by[w] as f64 / self.sent_by[w] as f64);
-        let all_slots = RUNNERS as f64 * SLOTS as f64 * self.end_us as f64;
+        let all_slots = BACKENDS as f64 * SLOTS as f64 * self.end_us as f64;
         let ms = |h: &Histogram<u64>, q| h.value_at_quantile(q) as f64 / US_PER_MS as f64;
         Report {
             scenario: self.scenario.name,
@@ -618,19 +618,19 @@
 
 fn candidate(
     entry: &Entry,
-    runner: usize,
-    holders: &[(RunnerKey, u32)],
+    backend: usize,
+    holders: &[(BackendKey, u32)],
     now_ms: u64,
     tokens: u32,
 ) -> Candidate {
-    let key = RunnerKey(runner as u32);
-    let (reported_tokens, us_per_token) = entry.reported[runner];
+    let key = BackendKey(backend as u32);
+    let (reported_tokens, us_per_token) = entry.reported[backend];
     let saving = (f64::from(tokens) * CACHE_SAVING) as u32;
     Candidate {
-        runner: key,
+        backend: key,
         reported_tokens,
-        report_age_ms: now_ms.saturating_sub(entry.reported_at_ms[runner]),
-        sent_tokens: entry.sent[runner].saturating_sub(entry.received[runner]),
+        report_age_ms: now_ms.saturating_sub(entry.reported_at_ms[backend]),
+        sent_tokens: entry.sent[backend].saturating_sub(entry.received[backend]),
         capacity: SLOTS as u32,
         us_per_token,
         distance_us: NET_US,
--- a/bench/src/rules.rs
+++ b/bench/src/rules.rs
@@ -1,14 +1,14 @@
-//! Candidate rules for picking the runner that loads an adapter.
+//! Candidate rules for picking the backend that loads an adapter.
 
 use derive_more::Display;
 
-use currantlink_core::ids::RunnerKey;
+use currantlink_core::ids::BackendKey;
 
-/// A runner that could hold an adapter.
+/// A backend that could hold an adapter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Host {
-    /// The runner.
-    pub runner: RunnerKey,
+    /// The backend.
+    pub backend: BackendKey,
     /// Free adapter memory.
     pub free_mb: u32,
     /// Work ahead, in tokens.
@@ -17,39 +17,39 @@
     pub holds: bool,
 }
 
-/// How a runner is picked.
+/// How a backend is picked.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Rule {
-    /// The runner with the least load.
+    /// The backend with the least load.
     #[display("least-loaded")]
     LeastLoaded,
-    /// The runner whose free memory is left with the smallest remainder.
+    /// The backend whose free memory is left with the smallest remainder.
     #[display("best-fit")]
     BestFit,
-    /// Best fit among the runners whose load is near the least.
+    /// Best fit among the backends whose load is near the least.
     #[display("balanced-fit")]
     BalancedFit,
 }
 
 const NEAR_LEAST_PERCENT: u64 = 125;
 
-/// Picks the runner that loads an adapter of `size_mb`, or `None` where a runner holds it or none
+/// Picks the backend that loads an adapter of `size_mb`, or `None` where a backend holds it or none
 /// has room.
-pub fn place(hosts: &[Host], size_mb: u32, rule: Rule) -> Option<RunnerKey> {
+pub fn place(hosts: &[Host], size_mb: u32, rule: Rule) -> Option<BackendKey> {
     if hosts.iter().any(|h| h.holds) {
         return None;
     }
     let fitting = hosts.iter().filter(|h| h.free_mb >= size_mb);
     let chosen = match rule {
-        Rule::LeastLoaded => fitting.min_by_key(|h| (h.load_tokens, h.runner)),
-        Rule::BestFit => fitting.min_by_key(|h| (h.free_mb, h.load_tokens, h.runner)),
+        Rule::LeastLoaded => fitting.min_by_key(|h| (h.load_tokens, h.backend)),
+        Rule::BestFit => fitting.min_by_key(|h| (h.free_mb, h.load_tokens, h.backend)),
         Rule::BalancedFit => {
             let least = fitting.clone().map(|h| h.load_tokens).min()?;
             let bound = least * NEAR_LEAST_PERCENT / 100;
             fitting
                 .filter(|h| h.load_tokens <= bound)
-                .min_by_key(|h| (h.free_mb, h.load_tokens, h.runner))
+                .min_by_key(|h| (h.free_mb, h.load_tokens, h.backend))
         }
     };
-    chosen.map(|h| h.runner)
+    chosen.map(|h| h.backend)
 }
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -7,7 +7,7 @@
 use currantlink_core::experts::{Costs, Policy, Weights};
 use currantlink_core::fold::{Fold, RULE};
 use currantlink_core::gate::{Gate, Limits, LinkId, Offer};
-use currantlink_core::ids::{CallKey, Incarnation, RequestId, RunnerKey, WorkspaceName};
+use currantlink_core::ids::{BackendKey, CallKey, Incarnation, RequestId, WorkspaceName};
 use currantlink_core::map::LayerMap;
 use currantlink_core::router::{Candidate, choose};
 use currantlink_core::ticket::Minter;
@@ -208,7 +208,7 @@
 
 fn remembered_calls(size: usize) -> Slope {
     let incarnation = Incarnation(1);
-    let minter = Minter::new(incarnation, "runner", [1; 32], 60_000);
+    let minter = Minter::new(incarnation, "backend", [1; 32], 60_000);
     let limits = Limits {
         max_running: size,
         max_queued: size,
@@ -254,7 +254,7 @@
     const ROUNDS: usize = 10_000;
     let candidates: Vec<Candidate> = (0..size)
         .map(|n| Candidate {
-            runner: RunnerKey(n as u32),
+            backend: BackendKey(n as u32),
             reported_tokens: n as u64 * 37 % 1_000,
             report_age_ms: 20,
             sent_tokens: 0,
@@ -274,7 +274,7 @@
         });
         chosen.count()
     };
-    let mut slope = measure("runner considered, 10000 choices", size, choose_all, |_| 0);
+    let mut slope = measure("backend considered, 10000 choices", size, choose_all, |_| 0);
     slope.cpu_us_each /= ROUNDS as f64;
     slope.memory_bytes_each = 0.0;
     slope
@@ -283,7 +283,7 @@
 fn heartbeats(size: usize) -> Slope {
     let exchange = || {
         let status = SideStatus {
-            runner: String::from("clear-llm-123"),
+            backend: String::from("clear-llm-123"),
             incarnation: u64::MAX,
             queued: 10,
             running: 60,
--- a/bench/tests/placement.rs
+++ b/bench/tests/placement.rs
@@ -1,20 +1,20 @@
 //! Candidate rules for loading an adapter.
 
 use currantlink_bench::rules::{Host, Rule, place};
-use currantlink_core::ids::RunnerKey;
+use currantlink_core::ids::BackendKey;
 
 #[test]
 fn placement_rules() {
-    let host = |runner, free_mb, load_tokens| Host {
-        runner: RunnerKey(runner),
+    let host = |backend, free_mb, load_tokens| Host {
+        backend: BackendKey(backend),
         free_mb,
         load_tokens,
         holds: false,
     };
     let hosts = [host(0, 1_000, 10), host(1, 250, 40), host(2, 100, 0), host(3, 400, 11)];
-    assert_eq!(place(&hosts, 200, Rule::LeastLoaded), Some(RunnerKey(0)));
-    assert_eq!(place(&hosts, 200, Rule::BestFit), Some(RunnerKey(1)));
-    assert_eq!(place(&hosts, 200, Rule::BalancedFit), Some(RunnerKey(3)));
+    assert_eq!(place(&hosts, 200, Rule::LeastLoaded), Some(BackendKey(0)));
+    assert_eq!(place(&hosts, 200, Rule::BestFit), Some(BackendKey(1)));
+    assert_eq!(place(&hosts, 200, Rule::BalancedFit), Some(BackendKey(3)));
     assert_eq!(place(&hosts, 2_000, Rule::BestFit), None);
     assert_eq!(place(&[Host { holds: true, ..hosts[0] }], 1, Rule::BestFit), None);
 }
--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -14,10 +14,10 @@
     /// Show the state of one entry.
     #[bpaf(command)]
     Status(#[bpaf(external(status))] Status),
-    /// List the runners that one entry links to.
+    /// List the backends that one entry links to.
     #[bpaf(command)]
-    Runners(#[bpaf(external(runners))] Runners),
-    /// Take a runner out of service or back into it.
+    Backends(#[bpaf(external(backends))] Backends),
+    /// Take a backend out of service or back into it.
     #[bpaf(command)]
     Drain(#[bpaf(external(drain))] Drain),
     /// Send a request as a caller.
@@ -123,9 +123,9 @@
     pub json: bool,
 }
 
-/// `runners`
+/// `backends`
 #[derive(Clone, Debug, Bpaf)]
-pub struct Runners {
+pub struct Backends {
     #[bpaf(external(remote))]
     pub remote: Remote,
     /// Print JSON.
@@ -137,13 +137,13 @@
 pub struct Drain {
     #[bpaf(external(remote))]
     pub remote: Remote,
-    /// Put the runner back into service.
+    /// Put the backend back into service.
     pub undo: bool,
     /// Print JSON.
     pub json: bool,
-    /// Name of the runner.
-    #[bpaf(positional("RUNNER"))]
-    pub runner: String,
+    /// Name of the backend.
+    #[bpaf(positional("BACKEND"))]
+    pub backend: String,
 }
 
 /// `ask`
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod args;
 mod ask;
+mod backends;
 mod check;
 mod client;
 mod drain;
@@ -11,7 +12,6 @@
 mod history;
 mod output;
 mod pull;
-mod runners;
 mod show;
 mod status;
 
@@ -40,7 +40,7 @@
         Args::Config(ConfigArgs::Show(command)) => command.run().await,
         Args::Config(ConfigArgs::History(command)) => command.run().await,
         Args::Status(command) => command.run().await,
-        Args::Runners(command) => command.run().await,
+        Args::Backends(command) => command.run().await,
         Args::Drain(command) => command.run().await,
         Args::Ask(command) => command.run().await,
     }
--- a/cli/tests/config.rs
+++ b/cli/tests/config.rs
@@ -30,7 +30,7 @@
         ("10.json", r#"{"services": [{"name": "a", "kind": "plain"}]}"#),
         (
             "20.json",
-            r#"{"runners": [{"name": "r", "service": "a", "side_address": "127.0.0.1:1"}]}"#,
+            r#"{"backends": [{"name": "r", "service": "a", "side_address": "127.0.0.1:1"}]}"#,
         ),
         ("notes.txt", "not read"),
     ]);
@@ -48,7 +48,7 @@
 fn all_problems() {
     let dir = folder(&[
         ("10.json", r#"{"services": [{"name": "a", "kind": "odd"}]}"#),
-        ("20.json", r#"{"runner": []}"#),
+        ("20.json", r#"{"backend": []}"#),
     ]);
     let output = run(&["config", "check", "--json", dir.path().to_str().unwrap()]);
     assert_eq!(output.status.code(), Some(3));
--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -10,7 +10,7 @@
     ".currantlink.config.v1.Workspace",
     ".currantlink.config.v1.Service",
     ".currantlink.config.v1.Adapter",
-    ".currantlink.config.v1.Runner",
+    ".currantlink.config.v1.Backend",
     ".currantlink.config.v1.Group",
     ".currantlink.settings.v1",
 ];
--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -24,8 +24,8 @@
 /// Why an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
-    /// No runner can be chosen.
-    NoRunner,
+    /// No backend can be chosen.
+    NoBackend,
     /// The call could not be handed over: nothing was sent.
     NotSent,
     /// The side refused the call and will never run it.
@@ -56,7 +56,7 @@
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Try another runner.
+    /// Try another backend.
     Retry,
     /// Tell the caller.
     GiveUp {
@@ -70,9 +70,9 @@
 /// How often a call may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
-    /// Any number of times, on any runner.
+    /// Any number of times, on any backend.
     Idempotent,
-    /// Once, on the runner that minted its ticket; it may have been handed over before.
+    /// Once, on the backend that minted its ticket; it may have been handed over before.
     Ticketed,
 }
 
@@ -112,7 +112,7 @@
     ) -> Next {
         let ran = run_of(ending);
         self.maybe_ran |= ran != Outcome::NotRun;
-        let useful = !matches!(ending, Ending::NoRunner | Ending::SideCannotTell);
+        let useful = !matches!(ending, Ending::NoBackend | Ending::SideCannotTell);
         let in_time = self.remaining_ms(now_ms) > 0 && self.retries < MAX_RETRIES;
         let safe = self.repeat == Repeat::Idempotent && !passed_on;
         if safe && useful && in_time && may_retry() {
@@ -124,7 +124,7 @@
     }
 
     fn outcome(&self, ending: Ending, ran: Outcome) -> Outcome {
-        let side_said_so = !matches!(ending, Ending::NoRunner | Ending::NotSent);
+        let side_said_so = !matches!(ending, Ending::NoBackend | Ending::NotSent);
         match (self.repeat, ran) {
             (Repeat::Ticketed, Outcome::NotRun) if !side_said_so => Outcome::Unknown,
             (Repeat::Idempotent, Outcome::NotRun) if self.maybe_ran => Outcome::Unknown,
@@ -135,7 +135,7 @@
 
 fn run_of(ending: Ending) -> Outcome {
     match ending {
-        Ending::NoRunner
+        Ending::NoBackend
         | Ending::NotSent
         | Ending::Refused { .. }
         | Ending::Tombstoned
--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -11,7 +11,7 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
-use crate::ids::{RunnerKey, ServiceKey, WorkspaceKey, WorkspaceName};
+use crate::ids::{BackendKey, ServiceKey, WorkspaceKey, WorkspaceName};
 
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 const DEFAULT_IDEMPOTENT_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
@@ -126,9 +126,9 @@
     pub name: WorkspaceName,
     /// Hashes of its tokens.
     pub tokens: Vec<TokenHash>,
-    /// Share of a contended runner.
+    /// Share of a contended backend.
     pub weight: u32,
-    /// Most calls in flight on one runner.
+    /// Most calls in flight on one backend.
     pub max_in_flight: usize,
     /// Most urgent class that its calls may use.
     pub min_priority: u32,
@@ -156,8 +156,8 @@
     pub idempotent_methods: IndexSet<String>,
     /// Deadline of a call that names none.
     pub deadline_ms: u64,
-    /// Its runners.
-    pub runners: Vec<RunnerKey>,
+    /// Its backends.
+    pub backends: Vec<BackendKey>,
 }
 
 /// A fine-tuned variant of a model that one workspace may use.
@@ -175,13 +175,13 @@
 
 /// A back end.
 #[derive(Clone, Debug)]
-pub struct Runner {
+pub struct Backend {
     /// Name.
     pub name: String,
     /// Service that it serves.
     pub service: ServiceKey,
     /// Failure domain.
-    pub place: String,
+    pub failure_domain: String,
     /// Address of its side.
     pub side_address: std::net::SocketAddr,
     /// Group whose ranks it hosts.
@@ -199,8 +199,8 @@
     pub skew_weight: f64,
     /// Weight of transfers and lost steps.
     pub move_weight: f64,
-    /// Its runners.
-    pub runners: Vec<RunnerKey>,
+    /// Its backends.
+    pub backends: Vec<BackendKey>,
 }
 
 /// Configuration in force.
@@ -209,7 +209,7 @@
     workspaces: IndexMap<String, Workspace>,
     services: IndexMap<String, Service>,
     adapters: IndexMap<String, Adapter>,
-    runners: IndexMap<String, Runner>,
+    backends: IndexMap<String, Backend>,
     groups: IndexMap<String, Group>,
     tokens: IndexMap<TokenHash, WorkspaceKey>,
 }
@@ -256,20 +256,20 @@
         (adapter.service == service && adapter.workspace == workspace).then_some(adapter)
     }
 
-    /// Returns a runner by key.
-    pub fn runner(&self, key: RunnerKey) -> Option<&Runner> {
-        self.runners.get_index(key.0 as usize).map(|(_, r)| r)
+    /// Returns a backend by key.
+    pub fn backend(&self, key: BackendKey) -> Option<&Backend> {
+        self.backends.get_index(key.0 as usize).map(|(_, r)| r)
     }
 
-    /// Returns a runner by name.
-    pub fn runner_by_name(&self, name: &str) -> Option<(RunnerKey, &Runner)> {
-        let (index, _, runner) = self.runners.get_full(name)?;
-        Some((RunnerKey(index as u32), runner))
+    /// Returns a backend by name.
+    pub fn backend_by_name(&self, name: &str) -> Option<(BackendKey, &Backend)> {
+        let (index, _, backend) = self.backends.get_full(name)?;
+        Some((BackendKey(index as u32), backend))
     }
 
-    /// Returns all runners.
-    pub fn runners(&self) -> impl Iterator<Item = &Runner> {
-        self.runners.values()
+    /// Returns all backends.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.values()
     }
 
     /// Returns all services.
@@ -341,7 +341,7 @@
         for_each(files, "services", |f| &f.services, |s, v| self.add_service(&s, v));
         for_each(files, "adapters", |f| &f.adapters, |s, a| self.add_adapter(&s, a));
         for_each(files, "groups", |f| &f.groups, |s, g| self.add_group(&s, g));
-        for_each(files, "runners", |f| &f.runners, |s, r| self.add_runner(&s, r));
+        for_each(files, "backends", |f| &f.backends, |s, r| self.add_backend(&s, r));
     }
 
     fn problem(&mut self, spot: &Spot<'_>, field: &str, reason: Reason) {
@@ -443,7 +443,7 @@
             versions: raw.versions.clone(),
             idempotent_methods: methods,
             deadline_ms: raw.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS),
-            runners: Vec::new(),
+            backends: Vec::new(),
         };
         self.config.services.insert(raw.name.clone(), service);
     }
@@ -490,12 +490,12 @@
             service,
             skew_weight,
             move_weight,
-            runners: Vec::new(),
+            backends: Vec::new(),
         };
         self.config.groups.insert(raw.name.clone(), group);
     }
 
-    fn add_runner(&mut self, spot: &Spot<'_>, raw: &raw::Runner) {
+    fn add_backend(&mut self, spot: &Spot<'_>, raw: &raw::Backend) {
         if !self.claim_name(spot, &raw.name) {
             return;
         }
@@ -512,21 +512,21 @@
             self.problem(spot, "group", reason);
             return;
         }
-        let key = RunnerKey(self.config.runners.len() as u32);
+        let key = BackendKey(self.config.backends.len() as u32);
         if let Some((_, entry)) = self.config.services.get_index_mut(service.0 as usize) {
-            entry.runners.push(key);
+            entry.backends.push(key);
         }
         if let Some(group) = self.config.groups.get_mut(&raw.group) {
-            group.runners.push(key);
+            group.backends.push(key);
         }
-        let runner = Runner {
+        let backend = Backend {
             name: raw.name.clone(),
             service,
-            place: raw.place.clone(),
+            failure_domain: raw.failure_domain.clone(),
             side_address,
             group: Some(raw.group.clone()).filter(|g| !g.is_empty()),
         };
-        self.config.runners.insert(raw.name.clone(), runner);
+        self.config.backends.insert(raw.name.clone(), backend);
     }
 }
 
--- a/core/src/exchange.rs
+++ b/core/src/exchange.rs
@@ -41,9 +41,9 @@
     Pass,
     /// The frame is the end of a whole answer.
     Whole,
-    /// Wait for a new link; only shortly where another runner can take the call.
+    /// Wait for a new link; only shortly where another backend can take the call.
     AwaitLink {
-        /// Another runner can take the call.
+        /// Another backend can take the call.
         may_move: bool,
     },
     /// Ask the side about the call, from this sequence number on.
--- a/core/src/fold.rs
+++ b/core/src/fold.rs
@@ -113,9 +113,9 @@
         self.files.get(name)
     }
 
-    /// Returns whether an operator took the runner out of service.
-    pub fn is_drained(&self, runner: &str) -> bool {
-        self.overrides.get(runner).copied().unwrap_or(false)
+    /// Returns whether an operator took the backend out of service.
+    pub fn is_drained(&self, backend: &str) -> bool {
+        self.overrides.get(backend).copied().unwrap_or(false)
     }
 
     /// Returns whether `every` records were folded since the newest snapshot on the log.
@@ -206,9 +206,9 @@
 
     fn set_override(&mut self, order: Override) -> Verdict {
         if order.drained {
-            self.overrides.insert(order.runner, true);
+            self.overrides.insert(order.backend, true);
         } else {
-            self.overrides.shift_remove(&order.runner);
+            self.overrides.shift_remove(&order.backend);
         }
         Verdict::Accepted
     }
@@ -232,7 +232,7 @@
 impl From<&Fold> for State {
     fn from(fold: &Fold) -> Self {
         let overrides =
-            fold.overrides.iter().map(|(r, &drained)| Override { runner: r.clone(), drained });
+            fold.overrides.iter().map(|(r, &drained)| Override { backend: r.clone(), drained });
         State {
             rule: RULE,
             as_of: fold.as_of,
@@ -245,7 +245,7 @@
 impl From<State> for Fold {
     fn from(state: State) -> Self {
         let files = state.files.into_iter().map(|f| (f.name.clone(), f));
-        let overrides = state.overrides.into_iter().map(|o| (o.runner, o.drained));
+        let overrides = state.overrides.into_iter().map(|o| (o.backend, o.drained));
         Fold {
             as_of: state.as_of,
             files: files.collect(),
--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -1,6 +1,6 @@
-//! The side's gate: decides which calls its runner takes, in which order, and which it remembers.
+//! The side's gate: decides which calls its backend takes, in which order, and which it remembers.
 //!
-//! All work for a runner passes its gate, so limits, fairness, de-duplication and tombstones are
+//! All work for a backend passes its gate, so limits, fairness, de-duplication and tombstones are
 //! exact here without agreement between entries.
 
 use indexmap::IndexMap;
@@ -36,7 +36,7 @@
     work_tokens: u32,
 }
 
-/// Bookkeeping of one runner's calls.
+/// Bookkeeping of one backend's calls.
 pub struct Gate {
     minter: Minter,
     limits: Limits,
@@ -103,7 +103,7 @@
         self.us_per_token
     }
 
-    /// Returns whether the runner is leaving.
+    /// Returns whether the backend is leaving.
     pub fn is_draining(&self) -> bool {
         self.draining_since_ms.is_some()
     }
--- a/core/src/health.rs
+++ b/core/src/health.rs
@@ -1,8 +1,8 @@
-//! Finds runners that are much slower than their peers and leaves them out for a while.
+//! Finds backends that are much slower than their peers and leaves them out for a while.
 
 use indexmap::IndexMap;
 
-use crate::ids::RunnerKey;
+use crate::ids::BackendKey;
 
 const SMOOTHING: f64 = 0.2;
 const MIN_SAMPLES: u32 = 5;
@@ -21,54 +21,54 @@
     ejections: u32,
 }
 
-/// Observed speed and failures of the runners of one service.
+/// Observed speed and failures of the backends of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    records: IndexMap<RunnerKey, Record>,
+    records: IndexMap<BackendKey, Record>,
 }
 
 impl Health {
     /// Notes an answer with its time per token of work.
-    pub fn answered(&mut self, now_ms: u64, runner: RunnerKey, us_per_token: f64) {
-        let record = self.records.entry(runner).or_default();
+    pub fn answered(&mut self, now_ms: u64, backend: BackendKey, us_per_token: f64) {
+        let record = self.records.entry(backend).or_default();
         record.failures_in_row = 0;
         record.samples = record.samples.saturating_add(1);
         record.us_per_token = match record.samples {
             1 => us_per_token,
             _ => record.us_per_token + SMOOTHING * (us_per_token - record.us_per_token),
         };
-        if self.is_slow(runner) {
-            self.eject(now_ms, runner);
+        if self.is_slow(backend) {
+            self.eject(now_ms, backend);
         }
     }
 
     /// Notes a failed or silent attempt.
-    pub fn failed(&mut self, now_ms: u64, runner: RunnerKey) {
-        let record = self.records.entry(runner).or_default();
+    pub fn failed(&mut self, now_ms: u64, backend: BackendKey) {
+        let record = self.records.entry(backend).or_default();
         record.failures_in_row += 1;
         if record.failures_in_row >= FAILURES_TO_EJECT {
-            self.eject(now_ms, runner);
+            self.eject(now_ms, backend);
         }
     }
 
-    /// Returns whether the runner is left out.
-    pub fn is_ejected(&self, now_ms: u64, runner: RunnerKey) -> bool {
-        self.records.get(&runner).is_some_and(|r| r.ejected_until_ms > now_ms)
+    /// Returns whether the backend is left out.
+    pub fn is_ejected(&self, now_ms: u64, backend: BackendKey) -> bool {
+        self.records.get(&backend).is_some_and(|r| r.ejected_until_ms > now_ms)
     }
 
-    /// Keeps only runners for which `known` holds.
-    pub fn retain(&mut self, known: impl Fn(RunnerKey) -> bool) {
-        self.records.retain(|&runner, _| known(runner));
+    /// Keeps only backends for which `known` holds.
+    pub fn retain(&mut self, known: impl Fn(BackendKey) -> bool) {
+        self.records.retain(|&backend, _| known(backend));
     }
 
-    fn is_slow(&self, runner: RunnerKey) -> bool {
+    fn is_slow(&self, backend: BackendKey) -> bool {
         let mut others: Vec<f64> = self
             .records
             .iter()
-            .filter(|&(&key, r)| key != runner && r.samples >= MIN_SAMPLES)
+            .filter(|&(&key, r)| key != backend && r.samples >= MIN_SAMPLES)
             .map(|(_, r)| r.us_per_token)
             .collect();
-        let record = &self.records[&runner];
+        let record = &self.records[&backend];
         if others.is_empty() || record.samples < MIN_SAMPLES {
             return false;
         }
@@ -76,10 +76,10 @@
         record.us_per_token > SLOW_FACTOR * others[others.len() / 2]
     }
 
-    fn eject(&mut self, now_ms: u64, runner: RunnerKey) {
+    fn eject(&mut self, now_ms: u64, backend: BackendKey) {
         let ejected = self.records.values().filter(|r| r.ejected_until_ms > now_ms).count();
         let allowed = (self.records.len() as f64 * MAX_EJECTED_SHARE) as usize;
-        let record = &mut self.records[&runner];
+        let record = &mut self.records[&backend];
         if ejected >= allowed || record.ejected_until_ms > now_ms {
             return;
         }
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -56,9 +56,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServiceKey(pub u32);
 
-/// Index of a runner in its configuration's arena.
+/// Index of a backend in its configuration's arena.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RunnerKey(pub u32);
+pub struct BackendKey(pub u32);
 
 /// Name of a workspace, cheap to clone.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/core/src/offer.rs
+++ b/core/src/offer.rs
@@ -31,7 +31,7 @@
     /// The answer would come after the deadline.
     #[display("deadline")]
     Deadline,
-    /// The runner is leaving.
+    /// The backend is leaving.
     #[display("draining")]
     Draining,
     /// The workspace has its most calls in flight.
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -15,7 +15,7 @@
 const SPARE_SLOTS: usize = 64;
 const COLD_EXPERTS: usize = 24;
 
-/// One weight transfer: `expert` replaces what `slot` held.
+/// One weight transfer: `expert` reholders what `slot` held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Transfer {
     /// Slot of the layer, rank by rank.
@@ -71,7 +71,7 @@
     loads: &'a [f64],
     per_rank: usize,
     slots: Vec<u32>,
-    places: Vec<Vec<u32>>,
+    holders: Vec<Vec<u32>>,
     ranks: Vec<f64>,
     mean: f64,
 }
@@ -79,14 +79,15 @@
 impl<'a> Search<'a> {
     fn new(map: &LayerMap, loads: &'a [f64]) -> Self {
         let per_rank = map.slots_per_rank();
-        let mut places = vec![Vec::new(); map.experts()];
+        let mut holders = vec![Vec::new(); map.experts()];
         for (slot, &expert) in map.slots().iter().enumerate() {
-            places[expert as usize].push((slot / per_rank) as u32);
+            holders[expert as usize].push((slot / per_rank) as u32);
         }
         let total: f64 = loads.iter().sum();
         let mean = (total / map.ranks() as f64).max(f64::MIN_POSITIVE);
         let ranks = vec![0.0; map.ranks()];
-        let mut search = Self { loads, per_rank, slots: map.slots().to_vec(), places, ranks, mean };
+        let mut search =
+            Self { loads, per_rank, slots: map.slots().to_vec(), holders, ranks, mean };
         search.recount();
         search
     }
@@ -187,12 +188,12 @@
     /// Slots whose expert has another one, on the least loaded ranks that have such.
     fn spare_slots(&self, by_load: &[usize]) -> Vec<usize> {
         let slots = by_load.iter().rev().flat_map(|&rank| self.slots_of(rank));
-        let spare = slots.filter(|&slot| self.places[self.slots[slot] as usize].len() > 1);
+        let spare = slots.filter(|&slot| self.holders[self.slots[slot] as usize].len() > 1);
         spare.take(SPARE_SLOTS).collect()
     }
 
     fn share(&self, expert: u32) -> f64 {
-        self.share_of(expert as usize, self.places[expert as usize].len() as f64)
+        self.share_of(expert as usize, self.holders[expert as usize].len() as f64)
     }
 
     /// Load of one of several replicas, with its risk.
@@ -242,7 +243,7 @@
     /// A replica on a hot rank gives way to one of a light expert.
     fn consider_relief(&self, rank: usize, light: &[u32], consider: &mut impl FnMut(Move, f64)) {
         for slot in self.slots_of(rank) {
-            if self.places[self.slots[slot] as usize].len() < 2 {
+            if self.holders[self.slots[slot] as usize].len() < 2 {
                 continue;
             }
             for &expert in light {
@@ -257,8 +258,8 @@
     fn may_replace(&self, transfer: Transfer) -> bool {
         let old = self.slots[transfer.slot];
         let rank = (transfer.slot / self.per_rank) as u32;
-        let present = self.places[transfer.expert as usize].contains(&rank);
-        old != transfer.expert && !present && self.places[old as usize].len() > 1
+        let present = self.holders[transfer.expert as usize].contains(&rank);
+        old != transfer.expert && !present && self.holders[old as usize].len() > 1
     }
 
     fn consider_swaps(
@@ -286,13 +287,14 @@
     }
 
     fn is_on(&self, expert: u32, rank: usize) -> bool {
-        self.places[expert as usize].contains(&(rank as u32))
+        self.holders[expert as usize].contains(&(rank as u32))
     }
 
     fn replica_gain(&self, transfer: Transfer) -> f64 {
         let rank = (transfer.slot / self.per_rank) as u32;
         let (old, new) = (self.slots[transfer.slot] as usize, transfer.expert as usize);
-        let (old_count, new_count) = (self.places[old].len() as f64, self.places[new].len() as f64);
+        let (old_count, new_count) =
+            (self.holders[old].len() as f64, self.holders[new].len() as f64);
         let old_shift = self.share_of(old, old_count - 1.0) - self.share_of(old, old_count);
         let new_shift = self.share_of(new, new_count + 1.0) - self.share_of(new, new_count);
         let shift_of = |r: u32| match r {
@@ -301,23 +303,23 @@
                     + f64::from(u8::from(self.doubled(old, rank))) * old_shift
             }
             _ => {
-                let gets_old = f64::from(u8::from(self.places[old].contains(&r)));
-                let gives_new = f64::from(u8::from(self.places[new].contains(&r)));
+                let gets_old = f64::from(u8::from(self.holders[old].contains(&r)));
+                let gives_new = f64::from(u8::from(self.holders[new].contains(&r)));
                 gets_old * old_shift + gives_new * new_shift
             }
         };
         let mut gain = self.shifted(rank, shift_of(rank));
-        for &r in self.places[old].iter().filter(|&&r| r != rank) {
+        for &r in self.holders[old].iter().filter(|&&r| r != rank) {
             gain += self.shifted(r, shift_of(r));
         }
-        for &r in self.places[new].iter().filter(|r| !self.places[old].contains(r)) {
+        for &r in self.holders[new].iter().filter(|r| !self.holders[old].contains(r)) {
             gain += self.shifted(r, shift_of(r));
         }
         gain
     }
 
     fn doubled(&self, expert: usize, rank: u32) -> bool {
-        self.places[expert].iter().filter(|&&r| r == rank).count() > 1
+        self.holders[expert].iter().filter(|&&r| r == rank).count() > 1
     }
 
     fn shifted(&self, rank: u32, shift: f64) -> f64 {
@@ -341,9 +343,9 @@
     }
 
     fn recount(&mut self) {
-        self.places.iter_mut().for_each(Vec::clear);
+        self.holders.iter_mut().for_each(Vec::clear);
         for (slot, &expert) in self.slots.iter().enumerate() {
-            self.places[expert as usize].push((slot / self.per_rank) as u32);
+            self.holders[expert as usize].push((slot / self.per_rank) as u32);
         }
         self.ranks.fill(0.0);
         for (slot, &expert) in self.slots.iter().enumerate() {
--- a/core/src/prefix.rs
+++ b/core/src/prefix.rs
@@ -1,4 +1,4 @@
-//! Remembers which runner has likely cached a prompt prefix.
+//! Remembers which backend has likely cached a prompt prefix.
 //!
 //! Cache events come late and with gaps, so entries are hints that age; they are also noted from
 //! the entry's own sends. Hashes include the workspace: no prefix is shared between workspaces.
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::ids::{RunnerKey, WorkspaceKey};
+use crate::ids::{BackendKey, WorkspaceKey};
 
 /// Length of the prompt blocks that are hashed, in bytes.
 pub const BLOCK_BYTES: usize = 256;
@@ -37,7 +37,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Hint {
-    runner: RunnerKey,
+    backend: BackendKey,
     at_ms: u64,
 }
 
@@ -48,12 +48,12 @@
 }
 
 impl PrefixTable {
-    /// Notes that a runner has or will have the prefixes in its cache.
-    pub fn note(&mut self, now_ms: u64, runner: RunnerKey, hashes: &PrefixHashes) {
+    /// Notes that a backend has or will have the prefixes in its cache.
+    pub fn note(&mut self, now_ms: u64, backend: BackendKey, hashes: &PrefixHashes) {
         for &hash in &hashes.0 {
             let holders = self.hints.entry(hash).or_default();
-            holders.retain(|hint| hint.runner != runner);
-            holders.push(Hint { runner, at_ms: now_ms });
+            holders.retain(|hint| hint.backend != backend);
+            holders.push(Hint { backend, at_ms: now_ms });
             if holders.len() > MAX_HOLDERS {
                 holders.remove(0);
             }
@@ -64,15 +64,15 @@
         }
     }
 
-    /// Drops what is known of a runner.
-    pub fn forget(&mut self, runner: RunnerKey) {
-        self.hints.values_mut().for_each(|holders| holders.retain(|hint| hint.runner != runner));
+    /// Drops what is known of a backend.
+    pub fn forget(&mut self, backend: BackendKey) {
+        self.hints.values_mut().for_each(|holders| holders.retain(|hint| hint.backend != backend));
         self.hints.retain(|_, holders| !holders.is_empty());
     }
 
-    /// Returns the runners that likely hold the longest known prefix, with the tokens that each
+    /// Returns the backends that likely hold the longest known prefix, with the tokens that each
     /// likely saves.
-    pub fn holders(&self, now_ms: u64, hashes: &PrefixHashes) -> Vec<(RunnerKey, u32)> {
+    pub fn holders(&self, now_ms: u64, hashes: &PrefixHashes) -> Vec<(BackendKey, u32)> {
         let found = |(index, hash)| self.hints.get(hash).map(|holders| (index, holders));
         let Some((index, holders)) = hashes.0.iter().enumerate().rev().find_map(found) else {
             return Vec::new();
@@ -81,7 +81,7 @@
         let saving = |hint: &Hint| {
             let age_ms = now_ms.saturating_sub(hint.at_ms) as f64;
             let likelihood = 0.5_f64.powf(age_ms / HALF_LIFE_MS);
-            (hint.runner, (tokens * likelihood) as u32)
+            (hint.backend, (tokens * likelihood) as u32)
         };
         holders.iter().map(saving).collect()
     }
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -1,37 +1,37 @@
-//! Chooses a runner for a call from lagging information.
+//! Chooses a backend for a call from lagging information.
 
 use derive_more::Display;
 
-use crate::ids::RunnerKey;
+use crate::ids::BackendKey;
 
 const US_PER_MS: u64 = 1_000;
 const REPORT_HALF_LIFE_MS: f64 = 150.0;
 const HOLDER_DRAW_BITS: u32 = 17;
 
-/// What an entry knows of one runner at the time of the choice.
+/// What an entry knows of one backend at the time of the choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
-    /// The runner.
-    pub runner: RunnerKey,
+    /// The backend.
+    pub backend: BackendKey,
     /// Work that it reported last, in tokens.
     pub reported_tokens: u64,
     /// Age of that report.
     pub report_age_ms: u64,
     /// Work that this entry sent and the report does not include, in tokens.
     pub sent_tokens: u64,
-    /// Calls that the runner serves at a time.
+    /// Calls that the backend serves at a time.
     pub capacity: u32,
     /// Time per token of work of one call.
     pub us_per_token: u64,
-    /// One-way network time to the runner.
+    /// One-way network time to the backend.
     pub distance_us: u64,
     /// Time to load the adapter, 0 where it is loaded.
     pub load_us: u64,
     /// Tokens of the prompt that are likely cached.
     pub cached_tokens: u32,
-    /// The runner takes no new work.
+    /// The backend takes no new work.
     pub draining: bool,
-    /// The runner is left out as slow or failing.
+    /// The backend is left out as slow or failing.
     pub ejected: bool,
 }
 
@@ -46,7 +46,7 @@
         own_us + ahead_us + 2 * self.distance_us + self.load_us
     }
 
-    /// Returns the reported work, drawn towards the mean of all runners as the report ages: the
+    /// Returns the reported work, drawn towards the mean of all backends as the report ages: the
     /// other entries have seen it too and acted on it.
     fn expected_tokens(&self, mean_tokens: f64) -> u64 {
         let age = self.report_age_ms as f64 / REPORT_HALF_LIFE_MS;
@@ -61,7 +61,7 @@
     cost_us: u64,
 }
 
-/// Why a runner was chosen.
+/// Why a backend was chosen.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Why {
     /// It is the only one that can take work.
@@ -75,29 +75,29 @@
     Affinity,
 }
 
-/// A chosen runner.
+/// A chosen backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
-    /// The runner.
-    pub runner: RunnerKey,
+    /// The backend.
+    pub backend: BackendKey,
     /// Its estimated time until the whole answer.
     pub cost_us: u64,
     /// Reason.
     pub why: Why,
-    /// Runners that could have been chosen.
+    /// Backends that could have been chosen.
     pub considered: usize,
 }
 
-/// Why no runner was chosen.
+/// Why no backend was chosen.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum NoChoice {
-    /// No runner takes work.
-    #[display("no-runner")]
-    NoRunner,
-    /// No runner can answer before the deadline.
+    /// No backend takes work.
+    #[display("no-backend")]
+    NoBackend,
+    /// No backend can answer before the deadline.
     #[display("deadline")]
     Deadline {
-        /// Time by which the best runner would be late.
+        /// Time by which the best backend would be late.
         late_ms: u64,
     },
 }
@@ -105,20 +105,20 @@
 /// Chooses among `candidates`, leaving out those in `tried`.
 ///
 /// `draw` is a random number; two candidates are drawn with it and the cheaper one is taken, so
-/// that many entries with the same late reports do not all choose the same runner.
+/// that many entries with the same late reports do not all choose the same backend.
 ///
 /// # Errors
 ///
-/// Fails where no runner takes work or none can answer in time.
+/// Fails where no backend takes work or none can answer in time.
 pub fn choose(
     candidates: &[Candidate],
-    tried: &[RunnerKey],
+    tried: &[BackendKey],
     work_tokens: u32,
     remaining_ms: u64,
     draw: u64,
 ) -> Result<Choice, NoChoice> {
     let usable = price(&usable(candidates, tried), work_tokens);
-    let cheaper = cheaper_of_two(&usable, draw).ok_or(NoChoice::NoRunner)?;
+    let cheaper = cheaper_of_two(&usable, draw).ok_or(NoChoice::NoBackend)?;
     let absent = cheaper.candidate.load_us > 0;
     let holds = |c: &Candidate| c.cached_tokens > 0 || (absent && c.load_us == 0);
     let holders: Vec<Priced<'_>> = usable.iter().filter(|p| holds(p.candidate)).copied().collect();
@@ -136,8 +136,8 @@
         return Err(NoChoice::Deadline { late_ms: late_us.div_ceil(US_PER_MS) });
     }
     let best = if best.cost_us > budget_us { cheapest } else { best };
-    let (runner, cost_us) = (best.candidate.runner, best.cost_us);
-    Ok(Choice { runner, cost_us, why, considered: usable.len() })
+    let (backend, cost_us) = (best.candidate.backend, best.cost_us);
+    Ok(Choice { backend, cost_us, why, considered: usable.len() })
 }
 
 fn price<'a>(usable: &[&'a Candidate], work_tokens: u32) -> Vec<Priced<'a>> {
@@ -150,8 +150,8 @@
     priced.collect()
 }
 
-fn usable<'a>(candidates: &'a [Candidate], tried: &[RunnerKey]) -> Vec<&'a Candidate> {
-    let open = |c: &&Candidate| !c.draining && !tried.contains(&c.runner);
+fn usable<'a>(candidates: &'a [Candidate], tried: &[BackendKey]) -> Vec<&'a Candidate> {
+    let open = |c: &&Candidate| !c.draining && !tried.contains(&c.backend);
     let healthy: Vec<&Candidate> = candidates.iter().filter(open).filter(|c| !c.ejected).collect();
     if healthy.is_empty() { candidates.iter().filter(open).collect() } else { healthy }
 }
--- a/core/src/subset.rs
+++ b/core/src/subset.rs
@@ -1,27 +1,27 @@
-//! Picks the runners that one entry links to, so that no full mesh is needed.
+//! Picks the backends that one entry links to, so that no full mesh is needed.
 
 use indexmap::IndexSet;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::RunnerKey;
+use crate::ids::BackendKey;
 
 const REMOTE_SHARE: usize = 4;
 
-/// A runner that could be linked.
+/// A backend that could be linked.
 #[derive(Clone, Copy, Debug)]
 pub struct Linkable<'a> {
-    /// The runner.
-    pub runner: RunnerKey,
+    /// The backend.
+    pub backend: BackendKey,
     /// Its name.
     pub name: &'a str,
     /// Whether it is in the entry's failure domain.
     pub local: bool,
 }
 
-/// Picks up to `size` runners by rendezvous hashing, a quarter of them in other failure domains.
+/// Picks up to `size` backends by rendezvous hashing, a quarter of them in other failure domains.
 ///
-/// The result depends only on the names, so it changes little when runners come and go.
-pub fn pick(entry: &str, options: &[Linkable<'_>], size: usize) -> IndexSet<RunnerKey> {
+/// The result depends only on the names, so it changes little when backends come and go.
+pub fn pick(entry: &str, options: &[Linkable<'_>], size: usize) -> IndexSet<BackendKey> {
     let seed = xxh3_64_with_seed(entry.as_bytes(), 0);
     let score = |o: &Linkable<'_>| xxh3_64_with_seed(o.name.as_bytes(), seed);
     let (mut local, mut remote): (Vec<_>, Vec<_>) = options.iter().partition(|o| o.local);
@@ -30,5 +30,5 @@
     let remote_room = (size / REMOTE_SHARE).max(size.saturating_sub(local.len()));
     let local_room = size - remote_room.min(remote.len()).min(size);
     let chosen = local.iter().take(local_room).chain(remote.iter().take(remote_room));
-    chosen.take(size).map(|o| o.runner).collect()
+    chosen.take(size).map(|o| o.backend).collect()
 }
--- a/core/src/ticket.rs
+++ b/core/src/ticket.rs
@@ -15,7 +15,7 @@
 const VERSION: u8 = 1;
 const MAC_LEN: usize = 16;
 const FIXED_LEN: usize = 1 + 8 + REQUEST_ID_LEN + 8 + MAC_LEN;
-const MAX_RUNNER_LEN: usize = 255;
+const MAX_BACKEND_LEN: usize = 255;
 
 /// Length of a ticket key in bytes.
 pub const TICKET_KEY_LEN: usize = 32;
@@ -27,7 +27,7 @@
     #[display("the ticket is malformed")]
     Malformed,
     /// Another process minted it; whether the call ran cannot be told here.
-    #[display("the ticket belongs to another incarnation of the runner")]
+    #[display("the ticket belongs to another incarnation of the backend")]
     OtherIncarnation,
     /// It expired; whether the call ran is no longer remembered.
     #[display("the ticket has expired")]
@@ -51,7 +51,7 @@
     incarnation: Incarnation,
     request: RequestId,
     expires_ms: u64,
-    runner: String,
+    backend: String,
     mac: [u8; MAC_LEN],
     state: PhantomData<S>,
 }
@@ -67,9 +67,9 @@
         self.request
     }
 
-    /// Returns the name of the only runner that may run the call.
-    pub fn runner(&self) -> &str {
-        &self.runner
+    /// Returns the name of the only backend that may run the call.
+    pub fn backend(&self) -> &str {
+        &self.backend
     }
 
     /// Returns the expiry on the clock of the process that minted the ticket.
@@ -84,7 +84,7 @@
         bytes.extend(self.request.as_bytes());
         bytes.extend(self.expires_ms.to_be_bytes());
         bytes.extend(self.mac);
-        bytes.extend(self.runner.as_bytes());
+        bytes.extend(self.backend.as_bytes());
         bytes
     }
 }
@@ -93,16 +93,16 @@
     type Error = TicketError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, TicketError> {
-        let runner = bytes.get(FIXED_LEN..).ok_or(TicketError::Malformed)?;
-        if bytes[0] != VERSION || runner.len() > MAX_RUNNER_LEN {
+        let backend = bytes.get(FIXED_LEN..).ok_or(TicketError::Malformed)?;
+        if bytes[0] != VERSION || backend.len() > MAX_BACKEND_LEN {
             return Err(TicketError::Malformed);
         }
-        let runner = std::str::from_utf8(runner).map_err(|_| TicketError::Malformed)?;
+        let backend = std::str::from_utf8(backend).map_err(|_| TicketError::Malformed)?;
         Ok(Ticket {
             incarnation: Incarnation(u64::from_be_bytes(array(&bytes[1..9])?)),
             request: RequestId::from(array::<REQUEST_ID_LEN>(&bytes[9..25])?),
             expires_ms: u64::from_be_bytes(array(&bytes[25..33])?),
-            runner: runner.to_owned(),
+            backend: backend.to_owned(),
             mac: array(&bytes[33..FIXED_LEN])?,
             state: PhantomData,
         })
@@ -117,7 +117,7 @@
 #[derive(Clone)]
 pub struct Minter {
     incarnation: Incarnation,
-    runner: String,
+    backend: String,
     key: [u8; TICKET_KEY_LEN],
     ttl_ms: u64,
 }
@@ -126,11 +126,11 @@
     /// Creates a minter; `key` must be random and must not leave the process.
     pub fn new(
         incarnation: Incarnation,
-        runner: impl Into<String>,
+        backend: impl Into<String>,
         key: [u8; TICKET_KEY_LEN],
         ttl_ms: u64,
     ) -> Self {
-        Self { incarnation, runner: runner.into(), key, ttl_ms }
+        Self { incarnation, backend: backend.into(), key, ttl_ms }
     }
 
     /// Returns the time for which a ticket is good.
@@ -154,7 +154,7 @@
             incarnation: self.incarnation,
             request,
             expires_ms,
-            runner: self.runner.clone(),
+            backend: self.backend.clone(),
             mac,
             state: PhantomData,
         }
@@ -185,7 +185,7 @@
             incarnation: ticket.incarnation,
             request: ticket.request,
             expires_ms: ticket.expires_ms,
-            runner: ticket.runner,
+            backend: ticket.backend,
             mac: ticket.mac,
             state: PhantomData,
         })
--- a/core/tests/common/calls.rs
+++ b/core/tests/common/calls.rs
@@ -160,7 +160,7 @@
 pub fn gate(side: usize, life: u64) -> Gate {
     let incarnation = Incarnation((side as u64 + 1) * 1_000 + life);
     let key = [(side as u8 + 1) * 16 + life as u8; 32];
-    let minter = Minter::new(incarnation, format!("runner-{side}"), key, TTL_MS);
+    let minter = Minter::new(incarnation, format!("backend-{side}"), key, TTL_MS);
     Gate::new(incarnation, minter, limits())
 }
 
@@ -280,10 +280,10 @@
         let ticket = c.ticket.clone();
         let parsed = ticket.as_deref().and_then(|t| Ticket::<Unverified>::try_from(t).ok());
         let side = match &parsed {
-            Some(ticket) => usize::from(ticket.runner() == "runner-1"),
+            Some(ticket) => usize::from(ticket.backend() == "backend-1"),
             None => match (0..2).find(|s| !c.tried.contains(s)) {
                 Some(side) => side,
-                None => return self.ended(caller, Ending::NoRunner),
+                None => return self.ended(caller, Ending::NoBackend),
             },
         };
         if !self.sides[side].reachable {
--- a/core/tests/config.rs
+++ b/core/tests/config.rs
@@ -16,12 +16,12 @@
 
 #[test]
 fn merged_files() {
-    let runners = r#"{"runners": [
-        {"name": "r1", "service": "llm", "place": "a", "side_address": "127.0.0.1:1"}]}"#;
-    let compiled = compile([("10", SERVICES.as_bytes()), ("20", runners.as_bytes())]);
+    let backends = r#"{"backends": [
+        {"name": "r1", "service": "llm", "failure_domain": "a", "side_address": "127.0.0.1:1"}]}"#;
+    let compiled = compile([("10", SERVICES.as_bytes()), ("20", backends.as_bytes())]);
     assert!(compiled.problems.is_empty(), "{:?}", compiled.problems);
     let (_, service) = compiled.config.service_by_name("llm").unwrap();
-    assert_eq!(service.runners.len(), 1);
+    assert_eq!(service.backends.len(), 1);
 }
 
 #[test]
@@ -30,7 +30,7 @@
         "workspaces": [{"name": "a", "weight": 0}, {"name": "b c"}],
         "services": [{"name": "llm", "kind": "plain"}, {"name": "x", "kind": "other"}],
         "adapters": [{"name": "s", "service": "llm", "workspace": "nobody"}],
-        "runners": [{"name": "r", "service": "llm", "side_address": "here"},
+        "backends": [{"name": "r", "service": "llm", "side_address": "here"},
                     {"name": "q", "service": "none", "side_address": "127.0.0.1:1"}]}"#;
     let found = problems(&[("10", SERVICES), ("20", wrong)]);
     let paths: Vec<&str> = found.iter().map(|(_, path)| path.as_str()).collect();
@@ -40,8 +40,8 @@
         "services[0].name",
         "services[1].kind",
         "adapters[0].workspace",
-        "runners[0].side_address",
-        "runners[1].service",
+        "backends[0].side_address",
+        "backends[1].service",
     ];
     assert_eq!(paths, expected);
     assert!(found.iter().all(|(file, _)| file == "20"));
@@ -80,6 +80,6 @@
     #[test]
     fn random_bytes(text in vec(any::<u8>(), 0..200)) {
         let compiled = compile([("10", text.as_slice())]);
-        prop_assert_eq!(compiled.config.runners().count(), 0);
+        prop_assert_eq!(compiled.config.backends().count(), 0);
     }
 }
--- a/core/tests/fold.rs
+++ b/core/tests/fold.rs
@@ -162,10 +162,10 @@
 }
 
 #[test]
-fn drained_runner() {
+fn drained_backend() {
     let mut fold = Fold::default();
     for (offset, drained) in [(1, true), (2, false)] {
-        let order = Override { runner: "llm-1".into(), drained };
+        let order = Override { backend: "llm-1".into(), drained };
         let body = Some(record::Body::Override(order));
         let record = Record { record_id: vec![9; 16].into(), rule: RULE, body };
         fold.apply(offset, &record.encode_to_vec()).unwrap();
--- a/core/tests/gate.rs
+++ b/core/tests/gate.rs
@@ -200,7 +200,7 @@
 #[test]
 fn remembered_ticket() {
     let incarnation = Incarnation(1);
-    let minter = Minter::new(incarnation, "runner", [1; 32], 60_000);
+    let minter = Minter::new(incarnation, "backend", [1; 32], 60_000);
     let mut gate = Gate::new(incarnation, minter, Limits { retention_ms: 1_000, ..limits() });
     let workspace = WorkspaceName::from("a");
     let request = RequestId::from([7; 16]);
--- a/core/tests/routing.rs
+++ b/core/tests/routing.rs
@@ -1,11 +1,11 @@
-//! The entry's choice of a runner, ejection, subsets, retries and placement.
+//! The entry's choice of a backend, ejection, subsets, retries and placement.
 #![allow(clippy::unwrap_used)]
 
 use currantlink_core::attempt::{Attempts, Ending, Next, Outcome, Repeat};
 use currantlink_core::budget::RetryBudget;
 use currantlink_core::gate::Refusal;
 use currantlink_core::health::Health;
-use currantlink_core::ids::{RunnerKey, WorkspaceKey};
+use currantlink_core::ids::{BackendKey, WorkspaceKey};
 use currantlink_core::prefix::{BLOCK_BYTES, PrefixHashes, PrefixTable};
 use currantlink_core::router::{Candidate, NoChoice, Why, choose};
 use currantlink_core::subset::{Linkable, pick};
@@ -13,9 +13,9 @@
 const WORK_TOKENS: u32 = 100;
 const TIME_MS: u64 = 60_000;
 
-fn candidate(runner: u32) -> Candidate {
+fn candidate(backend: u32) -> Candidate {
     Candidate {
-        runner: RunnerKey(runner),
+        backend: BackendKey(backend),
         reported_tokens: 0,
         report_age_ms: 0,
         sent_tokens: 0,
@@ -31,7 +31,7 @@
 
 fn chosen(candidates: &[Candidate], draw: u64) -> (u32, Why) {
     let choice = choose(candidates, &[], WORK_TOKENS, TIME_MS, draw).unwrap();
-    (choice.runner.0, choice.why)
+    (choice.backend.0, choice.why)
 }
 
 #[test]
@@ -49,17 +49,17 @@
 }
 
 #[test]
-fn draining_runner() {
+fn draining_backend() {
     let leaving = Candidate { draining: true, ..candidate(0) };
     for draw in 0..50 {
         assert_eq!(chosen(&[leaving, candidate(1)], draw), (1, Why::Only));
     }
     let none = choose(&[leaving], &[], WORK_TOKENS, TIME_MS, 0);
-    assert_eq!(none.unwrap_err(), NoChoice::NoRunner);
+    assert_eq!(none.unwrap_err(), NoChoice::NoBackend);
 }
 
 #[test]
-fn ejected_runner() {
+fn ejected_backend() {
     let ejected = Candidate { ejected: true, ..candidate(0) };
     assert_eq!(chosen(&[ejected, candidate(1)], 3).0, 1);
     assert_eq!(chosen(&[ejected], 3).0, 0);
@@ -79,7 +79,7 @@
 #[test]
 fn loaded_adapter() {
     let absent = Candidate { load_us: 500_000, ..candidate(0) };
-    let candidates = [absent, Candidate { runner: RunnerKey(1), ..absent }, candidate(2)];
+    let candidates = [absent, Candidate { backend: BackendKey(1), ..absent }, candidate(2)];
     for draw in 0..50 {
         assert_eq!(chosen(&candidates, draw).0, 2);
     }
@@ -92,35 +92,35 @@
 }
 
 #[test]
-fn tried_runner() {
+fn tried_backend() {
     let both = [candidate(0), candidate(1)];
-    let choice = choose(&both, &[RunnerKey(0)], WORK_TOKENS, TIME_MS, 5).unwrap();
-    assert_eq!(choice.runner, RunnerKey(1));
+    let choice = choose(&both, &[BackendKey(0)], WORK_TOKENS, TIME_MS, 5).unwrap();
+    assert_eq!(choice.backend, BackendKey(1));
 }
 
 #[test]
-fn slow_runner() {
+fn slow_backend() {
     let mut health = Health::default();
     for round in 0..20 {
-        for runner in 0..4 {
-            let us_per_token = if runner == 0 { 1_000.0 } else { 100.0 };
-            health.answered(round, RunnerKey(runner), us_per_token);
+        for backend in 0..4 {
+            let us_per_token = if backend == 0 { 1_000.0 } else { 100.0 };
+            health.answered(round, BackendKey(backend), us_per_token);
         }
     }
-    assert!(health.is_ejected(20, RunnerKey(0)));
-    assert!(!health.is_ejected(20, RunnerKey(1)));
-    assert!(!health.is_ejected(200_000, RunnerKey(0)));
+    assert!(health.is_ejected(20, BackendKey(0)));
+    assert!(!health.is_ejected(20, BackendKey(1)));
+    assert!(!health.is_ejected(200_000, BackendKey(0)));
 }
 
 #[test]
 fn bounded_ejection() {
     let mut health = Health::default();
-    for runner in 0..6 {
+    for backend in 0..6 {
         for _ in 0..3 {
-            health.failed(0, RunnerKey(runner));
+            health.failed(0, BackendKey(backend));
         }
     }
-    let ejected = (0..6).filter(|&r| health.is_ejected(1, RunnerKey(r))).count();
+    let ejected = (0..6).filter(|&r| health.is_ejected(1, BackendKey(r))).count();
     assert!(ejected <= 2, "{ejected}");
 }
 
@@ -152,8 +152,8 @@
         Next::Retry => None,
     };
     use Repeat::{Idempotent, Ticketed};
-    assert_eq!(outcome(end(Idempotent, &[Ending::NoRunner])), Some(Outcome::NotRun));
-    let lost_then_none = [Ending::IncarnationLost, Ending::NoRunner];
+    assert_eq!(outcome(end(Idempotent, &[Ending::NoBackend])), Some(Outcome::NotRun));
+    let lost_then_none = [Ending::IncarnationLost, Ending::NoBackend];
     assert_eq!(outcome(end(Idempotent, &lost_then_none)), Some(Outcome::Unknown));
     assert_eq!(outcome(end(Ticketed, &[refused])), Some(Outcome::NotRun));
     assert_eq!(outcome(end(Ticketed, &[Ending::NotSent])), Some(Outcome::Unknown));
@@ -163,11 +163,11 @@
 
 #[test]
 fn small_subset() {
-    let names: Vec<String> = (0..100).map(|n| format!("runner-{n}")).collect();
+    let names: Vec<String> = (0..100).map(|n| format!("backend-{n}")).collect();
     let options: Vec<Linkable<'_>> = names
         .iter()
         .enumerate()
-        .map(|(n, name)| Linkable { runner: RunnerKey(n as u32), name, local: n % 2 == 0 })
+        .map(|(n, name)| Linkable { backend: BackendKey(n as u32), name, local: n % 2 == 0 })
         .collect();
     let picked = pick("entry-1", &options, 16);
     assert_eq!(picked.len(), 16);
@@ -184,14 +184,14 @@
     let prompt = vec![b'x'; BLOCK_BYTES * 3];
     let own = PrefixHashes::of(WorkspaceKey(1), &prompt);
     let mut table = PrefixTable::default();
-    table.note(0, RunnerKey(4), &own);
+    table.note(0, BackendKey(4), &own);
     let longer = [prompt.as_slice(), &[b'y'; BLOCK_BYTES]].concat();
     let found = table.holders(0, &PrefixHashes::of(WorkspaceKey(1), &longer));
-    assert_eq!(found, [(RunnerKey(4), 192)]);
+    assert_eq!(found, [(BackendKey(4), 192)]);
     assert_eq!(table.holders(0, &PrefixHashes::of(WorkspaceKey(2), &prompt)), []);
-    assert_eq!(table.holders(20_000, &own), [(RunnerKey(4), 96)]);
-    table.note(20_000, RunnerKey(5), &own);
-    assert_eq!(table.holders(20_000, &own), [(RunnerKey(4), 96), (RunnerKey(5), 192)]);
-    table.forget(RunnerKey(5));
-    assert_eq!(table.holders(20_000, &own), [(RunnerKey(4), 96)]);
+    assert_eq!(table.holders(20_000, &own), [(BackendKey(4), 96)]);
+    table.note(20_000, BackendKey(5), &own);
+    assert_eq!(table.holders(20_000, &own), [(BackendKey(4), 96), (BackendKey(5), 192)]);
+    table.forget(BackendKey(5));
+    assert_eq!(table.holders(20_000, &own), [(BackendKey(4), 96)]);
 }
--- a/core/tests/ticket.rs
+++ b/core/tests/ticket.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 
 fn minter(incarnation: u64, key: u8) -> Minter {
-    Minter::new(Incarnation(incarnation), "runner", [key; 32], 1_000)
+    Minter::new(Incarnation(incarnation), "backend", [key; 32], 1_000)
 }
 
 fn minted() -> Vec<u8> {
--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -11,7 +11,7 @@
     /// Serve callers and operators over HTTP.
     #[bpaf(command)]
     Entry(#[bpaf(external(options))] Options),
-    /// Guard the runner beside this process.
+    /// Guard the backend beside this process.
     #[bpaf(command)]
     Side(#[bpaf(external(options))] Options),
 }
--- a/daemon/src/backend.rs
+++ b/daemon/src/backend.rs
@@ -64,12 +64,12 @@
 
 /// Client of the back end. A connection with an abandoned answer is closed, not reused.
 #[derive(Clone, Debug)]
-pub struct Backend {
+pub struct BackendClient {
     base: String,
     http: Client<HttpConnector, Full<Bytes>>,
 }
 
-impl Backend {
+impl BackendClient {
     /// Creates a client of the back end at `base`.
     pub fn new(base: &http::Uri) -> Self {
         let mut connector = HttpConnector::new();
--- a/daemon/src/call.rs
+++ b/daemon/src/call.rs
@@ -9,7 +9,7 @@
 use currantlink_core::attempt::{Attempts, Ending, Next, Outcome, Repeat};
 use currantlink_core::config::Adapter;
 use currantlink_core::exchange::{Exchange, Input, Output};
-use currantlink_core::ids::{CallKey, Incarnation, RequestId, RunnerKey, WorkspaceName};
+use currantlink_core::ids::{BackendKey, CallKey, Incarnation, RequestId, WorkspaceName};
 use currantlink_core::prefix::PrefixHashes;
 use currantlink_core::ticket::{Ticket, Unverified};
 use currantlink_wire::link::{Cancel, Frame, Head, Header, Mint, Query, Submit, frame};
@@ -129,7 +129,7 @@
     service: &ServiceView,
     call: &Call,
     attempts: &Attempts,
-    tried: &mut Vec<RunnerKey>,
+    tried: &mut Vec<BackendKey>,
 ) -> Result<Answer, Ending> {
     let remaining_ms = attempts.remaining_ms(clock::now_ms());
     let target = match &call.ticket {
@@ -153,7 +153,7 @@
     service: &ServiceView,
     call: &Call,
     remaining_ms: u64,
-    tried: &[RunnerKey],
+    tried: &[BackendKey],
 ) -> Result<Target, Ending> {
     let query = routing::Query {
         request: call.request,
@@ -170,8 +170,8 @@
     service: &ServiceView,
     ticket: &Ticket<Unverified>,
 ) -> Result<Target, Ending> {
-    let found = service.targets.iter().find(|t| t.name == ticket.runner()).cloned();
-    let target = found.ok_or(Ending::NoRunner)?;
+    let found = service.targets.iter().find(|t| t.name == ticket.backend()).cloned();
+    let target = found.ok_or(Ending::NoBackend)?;
     target.uplink.reopened(RESUME_WAIT).await.ok_or(Ending::NotSent)?;
     Ok(target)
 }
@@ -189,7 +189,7 @@
     let head = carrier.head().await?;
     let learn = Learn {
         state: Arc::clone(&service.state),
-        runner: target.key,
+        backend: target.key,
         work_tokens: call.work_tokens,
         started: Instant::now(),
     };
@@ -205,7 +205,7 @@
 
 struct Learn {
     state: Arc<ServiceState>,
-    runner: RunnerKey,
+    backend: BackendKey,
     work_tokens: u32,
     started: Instant,
 }
@@ -213,7 +213,7 @@
 impl Learn {
     fn answered(&self) {
         let per_token = self.started.elapsed().as_micros() as f64 / f64::from(self.work_tokens);
-        self.state.health().answered(clock::now_ms(), self.runner, per_token);
+        self.state.health().answered(clock::now_ms(), self.backend, per_token);
     }
 }
 
@@ -240,7 +240,7 @@
     }
 }
 
-/// One attempt on one runner. Dropped, it lets the side cancel or forget an idempotent call.
+/// One attempt on one backend. Dropped, it lets the side cancel or forget an idempotent call.
 struct Carrier {
     exchange: Exchange,
     uplink: Arc<Uplink>,
@@ -422,7 +422,7 @@
     service: &ServiceView,
     call: &Call,
     attempts: &Attempts,
-    tried: &mut Vec<RunnerKey>,
+    tried: &mut Vec<BackendKey>,
 ) -> Result<Bytes, Ending> {
     let remaining_ms = attempts.remaining_ms(clock::now_ms());
     let target = choose(service, call, remaining_ms, tried)?;
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -189,8 +189,8 @@
         None => {
             let rejection = Rejection::new(
                 StatusCode::SERVICE_UNAVAILABLE,
-                Code::NoRunner,
-                "no runner is linked yet",
+                Code::NoBackend,
+                "no backend is linked yet",
             );
             return rejection.respond(&id);
         }
@@ -261,20 +261,20 @@
     Ticket::try_from(bytes.as_slice()).map_err(|e| Rejection::malformed(e.to_string()))
 }
 
-/// Returns the service's view; a ticket's runner outside of the subset is linked first.
+/// Returns the service's view; a ticket's backend outside of the subset is linked first.
 async fn linked(entry: &EntryContext, view: &View, call: &Call) -> Option<ServiceView> {
     let service = view.services.get(&call.service)?;
     let Some(ticket) = &call.ticket else {
         return Some(service.clone());
     };
-    if view.target(&call.service, ticket.runner()).is_some()
-        || view.config.runner_by_name(ticket.runner()).is_none()
+    if view.target(&call.service, ticket.backend()).is_some()
+        || view.config.backend_by_name(ticket.backend()).is_none()
     {
         return Some(service.clone());
     }
     let mut published = entry.control.published.clone();
-    let runner = ticket.runner().to_owned();
-    entry.control.events.send(Event::Link(runner)).await.ok()?;
+    let backend = ticket.backend().to_owned();
+    entry.control.events.send(Event::Link(backend)).await.ok()?;
     published.changed().await.ok()?;
     entry.control.view.load().services.get(&call.service).cloned()
 }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -1,4 +1,4 @@
-//! The entry's control thread: follows the log and the list, keeps links to the runners, and
+//! The entry's control thread: follows the log and the list, keeps links to the backends, and
 //! publishes the state that traffic reads.
 
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use currantlink_core::config::compile;
 use currantlink_core::fold::{Fold, Folded, RULE};
-use currantlink_core::ids::RunnerKey;
+use currantlink_core::ids::BackendKey;
 use currantlink_core::reader::{Page, Progress, RawRecord, Reader};
 use currantlink_core::subset::{self, Linkable};
 use currantlink_wire::config::{Record, State, record};
@@ -34,7 +34,7 @@
 const RECENT_RECORDS: usize = 1_024;
 const LOCAL_DISTANCE_US: u64 = 50;
 const REMOTE_DISTANCE_US: u64 = 1_000;
-const MAX_EXTRA_RUNNERS: usize = 256;
+const MAX_EXTRA_BACKENDS: usize = 256;
 
 /// What reaches the control thread.
 #[derive(Debug)]
@@ -45,7 +45,7 @@
     List(Result<Vec<Instance>, PlatformError>),
     /// A peer gave its configuration.
     Peer(Bytes),
-    /// Traffic needs a link to a runner outside of the subset.
+    /// Traffic needs a link to a backend outside of the subset.
     Link(String),
     /// A snapshot is to be appended unless a newer one was seen.
     Snapshot,
@@ -173,8 +173,8 @@
             Event::List(Ok(instances)) => self.take_list(&instances),
             Event::List(Err(error)) => log::warn!(error:% = error; "list not read"),
             Event::Peer(state) => self.take_peer(state),
-            Event::Link(runner) => {
-                if self.extra.len() < MAX_EXTRA_RUNNERS && self.extra.insert(runner) {
+            Event::Link(backend) => {
+                if self.extra.len() < MAX_EXTRA_BACKENDS && self.extra.insert(backend) {
                     self.publish();
                 }
             }
@@ -260,7 +260,7 @@
         self.listed = instances.iter().filter_map(|i| i.address.parse().ok()).collect();
         if leaving != self.leaving {
             for name in leaving.difference(&self.leaving) {
-                log::info!(runner = name.as_str(); "instance is leaving");
+                log::info!(backend = name.as_str(); "instance is leaving");
             }
             self.leaving = leaving;
         }
@@ -374,25 +374,25 @@
         fold: &Fold,
         name: &str,
     ) -> ServiceView {
-        let runners = config.service_by_name(name).map(|(_, s)| s.runners.clone());
-        let runners: Vec<_> =
-            runners.unwrap_or_default().into_iter().filter_map(|k| config.runner(k)).collect();
-        let options: Vec<Linkable<'_>> = runners
+        let backends = config.service_by_name(name).map(|(_, s)| s.backends.clone());
+        let backends: Vec<_> =
+            backends.unwrap_or_default().into_iter().filter_map(|k| config.backend(k)).collect();
+        let options: Vec<Linkable<'_>> = backends
             .iter()
             .enumerate()
             .map(|(index, r)| Linkable {
-                runner: RunnerKey(index as u32),
+                backend: BackendKey(index as u32),
                 name: &r.name,
-                local: r.place == self.settings.place(),
+                local: r.failure_domain == self.settings.failure_domain(),
             })
             .collect();
         let size = self.settings.subset_size();
         let picked = subset::pick(self.settings.name(), &options, size);
         let mut targets = Vec::new();
-        for (index, runner) in runners.iter().enumerate() {
-            let wanted = picked.contains(&RunnerKey(index as u32));
-            if wanted || self.extra.contains(&runner.name) {
-                targets.push(self.target(runner, fold));
+        for (index, backend) in backends.iter().enumerate() {
+            let wanted = picked.contains(&BackendKey(index as u32));
+            if wanted || self.extra.contains(&backend.name) {
+                targets.push(self.target(backend, fold));
             }
         }
         let percent = self.settings.retry_percent();
@@ -403,18 +403,18 @@
         ServiceView { targets: Arc::new(targets), state: Arc::clone(state) }
     }
 
-    fn target(&mut self, runner: &currantlink_core::config::Runner, fold: &Fold) -> Target {
-        if !self.links.contains_key(&runner.side_address) {
-            self.open_link(runner.side_address);
+    fn target(&mut self, backend: &currantlink_core::config::Backend, fold: &Fold) -> Target {
+        if !self.links.contains_key(&backend.side_address) {
+            self.open_link(backend.side_address);
         }
-        let (key, _) = self.keys.insert_full(runner.name.clone());
-        let local = runner.place == self.settings.place();
+        let (key, _) = self.keys.insert_full(backend.name.clone());
+        let local = backend.failure_domain == self.settings.failure_domain();
         Target {
-            key: RunnerKey(key as u32),
-            name: runner.name.clone(),
-            place: runner.place.clone(),
-            uplink: Arc::clone(&self.links[&runner.side_address].uplink),
-            leaving: self.leaving.contains(&runner.name) || fold.is_drained(&runner.name),
+            key: BackendKey(key as u32),
+            name: backend.name.clone(),
+            failure_domain: backend.failure_domain.clone(),
+            uplink: Arc::clone(&self.links[&backend.side_address].uplink),
+            leaving: self.leaving.contains(&backend.name) || fold.is_drained(&backend.name),
             distance_us: if local { LOCAL_DISTANCE_US } else { REMOTE_DISTANCE_US },
         }
     }
--- a/daemon/src/engine.rs
+++ b/daemon/src/engine.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use crate::backend::{Backend, BackendError};
+use crate::backend::{BackendClient, BackendError};
 use crate::gatekeeper::Event;
 
 /// What is wrong with the engine.
@@ -92,13 +92,13 @@
 /// Client of the engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
-    backend: Backend,
+    backend: BackendClient,
     order_timeout: Duration,
 }
 
 impl Engine {
     /// Creates a client.
-    pub fn new(backend: Backend, order_timeout: Duration) -> Self {
+    pub fn new(backend: BackendClient, order_timeout: Duration) -> Self {
         Self { backend, order_timeout }
     }
 
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -115,7 +115,7 @@
     api.register(callers::ticket_patch)?;
     api.register(callers::ticket_delete)?;
     api.register(operators::show_status)?;
-    api.register(operators::list_runners)?;
+    api.register(operators::list_backends)?;
     api.register(operators::set_drain)?;
     api.register(operators::show_config)?;
     api.register(operators::list_changes)?;
--- a/daemon/src/gatekeeper.rs
+++ b/daemon/src/gatekeeper.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend::Backend;
+use crate::backend::BackendClient;
 use crate::clock;
 use crate::recording::{Piece, Recording};
 use crate::wiring;
@@ -33,7 +33,7 @@
 /// Sender of messages to one link.
 pub type Outbox = mpsc::Sender<ToEntry>;
 
-/// Why a runner leaves.
+/// Why a backend leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum Reason {
     /// This process was asked to stop.
@@ -64,7 +64,7 @@
     Mint(Outbox, Mint),
     /// A running call has ended.
     Finished(CallKey, Duration),
-    /// The runner is to leave for a reason, or that reason is gone.
+    /// The backend is to leave for a reason, or that reason is gone.
     Drain(Reason, bool),
     /// Log records, in order.
     Records(Vec<(u64, Bytes)>),
@@ -91,14 +91,14 @@
 pub struct Setup {
     /// The gate.
     pub gate: Gate,
-    /// Name of the runner.
-    pub runner: String,
+    /// Name of the backend.
+    pub backend: String,
     /// Calls that the back end runs at a time.
     pub capacity: u32,
     /// Bound of one kept answer.
     pub max_answer_bytes: usize,
     /// Client of the back end.
-    pub backend: Backend,
+    pub client: BackendClient,
     /// Runtime of the traffic threads.
     pub traffic: Handle,
     /// Where the state is published.
@@ -332,7 +332,7 @@
             return;
         }
         log::info!(
-            runner = self.setup.runner.as_str(), reason:% = reason, drained; "drain changed"
+            backend = self.setup.backend.as_str(), reason:% = reason, drained; "drain changed"
         );
         self.setup.gate.drain(now_ms, !self.reasons.is_empty());
         self.publish();
@@ -393,11 +393,11 @@
             );
         }
         let (recording, cancel) = (Arc::clone(&job.recording), job.cancel.clone());
-        let (backend, events) = (self.setup.backend.clone(), self.events.clone());
+        let (client, events) = (self.setup.client.clone(), self.events.clone());
         let limit = Duration::from_millis(submit.remaining_ms);
         self.setup.traffic.spawn(async move {
             let started = Instant::now();
-            backend.run(&submit, &recording, limit, cancel).await;
+            client.run(&submit, &recording, limit, cancel).await;
             // The queue outlives all calls, so this fails only while the process ends.
             let _ = events.send(Event::Finished(key, started.elapsed())).await;
         });
@@ -428,7 +428,7 @@
         let files = self.fold.files().map(|f| (f.name.as_str(), f.content.as_ref()));
         self.config = Arc::new(compile(files).config);
         log::info!(as_of = self.fold.as_of(); "configuration in force");
-        let drained = self.fold.is_drained(&self.setup.runner);
+        let drained = self.fold.is_drained(&self.setup.backend);
         self.drain(clock::now_ms(), Reason::Operator, drained);
         self.publish();
         self.broadcast_status();
@@ -443,7 +443,7 @@
     fn status(&self) -> SideStatus {
         let gate = &self.setup.gate;
         SideStatus {
-            runner: self.setup.runner.clone(),
+            backend: self.setup.backend.clone(),
             incarnation: gate.incarnation().0,
             draining: gate.is_draining(),
             queued: gate.queued() as u32,
--- a/daemon/src/leader.rs
+++ b/daemon/src/leader.rs
@@ -35,7 +35,7 @@
 
 /// One side of the group.
 struct Peer {
-    runner: String,
+    backend: String,
     uplink: Arc<Uplink>,
 }
 
@@ -102,7 +102,7 @@
     /// Returns this side's group, with links to all of its sides.
     fn group(&mut self) -> Option<Group> {
         let config = Arc::clone(&self.view.load().config);
-        let (_, own) = config.runner_by_name(self.settings.runner())?;
+        let (_, own) = config.backend_by_name(self.settings.backend())?;
         let group = config.group(own.group.as_deref()?)?.clone();
         if !Arc::ptr_eq(&config, &self.config) {
             self.link_peers(&config, &group);
@@ -112,17 +112,18 @@
     }
 
     fn link_peers(&mut self, config: &Config, group: &Group) {
-        let mut members: Vec<_> = group.runners.iter().filter_map(|&k| config.runner(k)).collect();
+        let mut members: Vec<_> =
+            group.backends.iter().filter_map(|&k| config.backend(k)).collect();
         members.sort_by(|a, b| a.name.cmp(&b.name));
         let mut old = std::mem::take(&mut self.peers);
         for member in members {
             let known = old
                 .iter()
-                .position(|p| p.runner == member.name && p.uplink.address == member.side_address);
+                .position(|p| p.backend == member.name && p.uplink.address == member.side_address);
             let peer = match known {
                 Some(index) => old.swap_remove(index),
                 None => Peer {
-                    runner: member.name.clone(),
+                    backend: member.name.clone(),
                     uplink: Uplink::open(
                         &Handle::current(),
                         member.side_address,
@@ -138,12 +139,12 @@
 
     /// Whether no side before this one can be reached.
     fn is_acting(&self) -> bool {
-        let before = self.peers.iter().take_while(|p| p.runner != self.settings.runner());
+        let before = self.peers.iter().take_while(|p| p.backend != self.settings.backend());
         !before.into_iter().any(|p| p.uplink.state().connected)
     }
 
     fn position(&self) -> u64 {
-        let before = self.peers.iter().take_while(|p| p.runner != self.settings.runner());
+        let before = self.peers.iter().take_while(|p| p.backend != self.settings.backend());
         before.count() as u64
     }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,6 @@
 //! The roles of the currantlink daemon.
 //!
-//! `entry` serves callers and operators; `side` guards one runner. Each has one thread for its
+//! `entry` serves callers and operators; `side` guards one backend. Each has one thread for its
 //! control state and a pool of threads for traffic. All decisions are those of `currantlink-core`.
 
 pub mod backend;
--- a/daemon/src/monitor.rs
+++ b/daemon/src/monitor.rs
@@ -24,7 +24,7 @@
 
 #[derive(Serialize)]
 struct SideStatusBody {
-    runner: String,
+    backend: String,
     incarnation: String,
     draining: bool,
     queued: u32,
@@ -40,7 +40,7 @@
     let view = context.context().view.load();
     let status = &view.status;
     let body = SideStatusBody {
-        runner: status.runner.clone(),
+        backend: status.backend.clone(),
         incarnation: format!("{:016x}", status.incarnation),
         draining: status.draining,
         queued: status.queued,
--- a/daemon/src/operators.rs
+++ b/daemon/src/operators.rs
@@ -1,4 +1,4 @@
-//! Operators' HTTP: status, runners, configuration, metrics.
+//! Operators' HTTP: status, backends, configuration, metrics.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +32,7 @@
 #[derive(Serialize)]
 struct StatusBody {
     name: String,
-    place: String,
+    failure_domain: String,
     stopping: bool,
     requests_in_flight: usize,
     config_offset: u64,
@@ -43,16 +43,16 @@
     config_problems: Vec<String>,
     workspaces: usize,
     services: usize,
-    runners_linked: usize,
-    runners_connected: usize,
+    backends_linked: usize,
+    backends_connected: usize,
 }
 
-/// State of one runner as this entry sees it.
+/// State of one backend as this entry sees it.
 #[derive(Serialize)]
-struct RunnerBody {
+struct BackendBody {
     name: String,
     service: String,
-    place: String,
+    failure_domain: String,
     connected: bool,
     taking_work: bool,
     leaving: bool,
@@ -110,14 +110,14 @@
     content: Option<String>,
 }
 
-/// Path with a runner.
+/// Path with a backend.
 #[derive(Deserialize, JsonSchema)]
-pub struct RunnerPath {
-    /// Name of the runner.
-    runner: String,
+pub struct BackendPath {
+    /// Name of the backend.
+    backend: String,
 }
 
-/// Whether a runner is to take work.
+/// Whether a backend is to take work.
 #[derive(Deserialize, JsonSchema)]
 pub struct DrainRequest {
     /// True takes it out of service.
@@ -148,7 +148,7 @@
     let connected = targets.clone().filter(|t| t.uplink.state().connected).count();
     StatusBody {
         name: entry.settings.name().to_owned(),
-        place: entry.settings.place().to_owned(),
+        failure_domain: entry.settings.failure_domain().to_owned(),
         stopping: entry.is_stopping(),
         requests_in_flight: entry.count_in_flight(),
         config_offset: view.fold.as_of(),
@@ -159,31 +159,31 @@
         config_problems: view.problems.iter().map(ToString::to_string).collect(),
         workspaces: view.config.workspaces().count(),
         services: view.config.services().count(),
-        runners_linked: targets.count(),
-        runners_connected: connected,
+        backends_linked: targets.count(),
+        backends_connected: connected,
     }
 }
 
-/// Runners that this entry links to.
-#[endpoint { method = GET, path = "/v1/runners" }]
-pub async fn list_runners(context: Context) -> HttpResult {
+/// Backends that this entry links to.
+#[endpoint { method = GET, path = "/v1/backends" }]
+pub async fn list_backends(context: Context) -> HttpResult {
     let entry = context.context();
     if let Some(refused) = refuse_stranger(entry, context.request.headers()) {
         return refused;
     }
-    reply::json(StatusCode::OK, &runner_bodies(&entry.control.view.load()))
+    reply::json(StatusCode::OK, &backend_bodies(&entry.control.view.load()))
 }
 
-fn runner_bodies(view: &View) -> Vec<RunnerBody> {
+fn backend_bodies(view: &View) -> Vec<BackendBody> {
     let pairs = view.services.iter().flat_map(|(n, s)| s.targets.iter().map(move |t| (n, t)));
     pairs
         .map(|(service, target)| {
             let state = target.uplink.state();
             let status = &state.status;
-            RunnerBody {
+            BackendBody {
                 name: target.name.clone(),
                 service: service.clone(),
-                place: target.place.clone(),
+                failure_domain: target.failure_domain.clone(),
                 connected: state.connected,
                 taking_work: state.connected && !target.leaving && !status.draining,
                 leaving: target.leaving,
@@ -202,29 +202,29 @@
         .collect()
 }
 
-/// Take a runner out of service or back into it.
-#[endpoint { method = POST, path = "/v1/runners/{runner}/drain" }]
+/// Take a backend out of service or back into it.
+#[endpoint { method = POST, path = "/v1/backends/{backend}/drain" }]
 pub async fn set_drain(
     context: Context,
-    path: Path<RunnerPath>,
+    path: Path<BackendPath>,
     body: TypedBody<DrainRequest>,
 ) -> HttpResult {
     let entry = context.context();
     if let Some(refused) = refuse_stranger(entry, context.request.headers()) {
         return refused;
     }
-    let (runner, drained) = (path.into_inner().runner, body.into_inner().drained);
+    let (backend, drained) = (path.into_inner().backend, body.into_inner().drained);
     let view = entry.control.view.load_full();
-    if view.config.runner_by_name(&runner).is_none() {
-        let body = ErrorBody::new(Code::NotFound, "unknown runner");
+    if view.config.backend_by_name(&backend).is_none() {
+        let body = ErrorBody::new(Code::NotFound, "unknown backend");
         return body.respond(StatusCode::NOT_FOUND);
     }
-    if let Some(target) = view.any_target(&runner) {
+    if let Some(target) = view.any_target(&backend) {
         let incarnation = target.uplink.state().status.incarnation;
         target.uplink.try_send(incarnation, to_side::Body::Drain(Drain { drained }));
     }
     let record_id = RequestId::from(rand::random::<[u8; 16]>());
-    let order = record::Body::Override(Override { runner, drained });
+    let order = record::Body::Override(Override { backend, drained });
     publish(entry, record_id, order).await
 }
 
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -84,7 +84,7 @@
 /// An instance on the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct Instance {
-    /// Name of the runner or process.
+    /// Name of the backend or process.
     pub name: String,
     /// Address of its side's link listener.
     pub address: String,
@@ -160,7 +160,7 @@
         Ok(body.instances.into_iter().find(|i| i.name == name))
     }
 
-    /// Moves expert weights to a runner; answers once they are there.
+    /// Moves expert weights to a backend; answers once they are there.
     ///
     /// # Errors
     ///
--- a/daemon/src/reply.rs
+++ b/daemon/src/reply.rs
@@ -28,7 +28,7 @@
     /// The bearer token is missing, wrong or another one's.
     #[display("unauthorized")]
     Unauthorized,
-    /// The service, runner, adapter or record does not exist for this caller.
+    /// The service, backend, adapter or record does not exist for this caller.
     #[display("not-found")]
     NotFound,
     /// A header, the path or the body is wrong.
@@ -37,9 +37,9 @@
     /// An Idempotency-Key cannot be honoured; use the ticket's address.
     #[display("use-ticket")]
     UseTicket,
-    /// No runner takes work.
-    #[display("no-runner")]
-    NoRunner,
+    /// No backend takes work.
+    #[display("no-backend")]
+    NoBackend,
     /// Queues are full.
     #[display("overloaded")]
     Overloaded,
@@ -52,7 +52,7 @@
     /// The ticket does not belong to this call.
     #[display("bad-ticket")]
     BadTicket,
-    /// The ticket has expired, or its runner was replaced.
+    /// The ticket has expired, or its backend was replaced.
     #[display("ticket-lost")]
     TicketLost,
     /// The back end failed.
@@ -229,8 +229,8 @@
         (Outcome::Unknown, _) => (StatusCode::GATEWAY_TIMEOUT, Code::AnswerLost),
         (Outcome::Failed, _) => (StatusCode::BAD_GATEWAY, Code::BackEndFailed),
         (_, Ending::Refused { reason, .. }) => refusal(reason),
-        (_, Ending::NoRunner | Ending::NotSent) => {
-            (StatusCode::SERVICE_UNAVAILABLE, Code::NoRunner)
+        (_, Ending::NoBackend | Ending::NotSent) => {
+            (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackend)
         }
         _ => (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded),
     }
@@ -241,7 +241,7 @@
         Refusal::Deadline => (StatusCode::SERVICE_UNAVAILABLE, Code::Deadline),
         Refusal::WorkspaceLimit => (StatusCode::TOO_MANY_REQUESTS, Code::WorkspaceLimit),
         Refusal::Ticket => (StatusCode::FORBIDDEN, Code::BadTicket),
-        Refusal::Draining => (StatusCode::SERVICE_UNAVAILABLE, Code::NoRunner),
+        Refusal::Draining => (StatusCode::SERVICE_UNAVAILABLE, Code::NoBackend),
         Refusal::QueueFull | Refusal::Tombstoned | Refusal::StaleLink => {
             (StatusCode::SERVICE_UNAVAILABLE, Code::Overloaded)
         }
@@ -250,12 +250,12 @@
 
 fn explain(code: Code) -> &'static str {
     match code {
-        Code::NoRunner => "no runner takes work now",
-        Code::Overloaded => "the runners are full",
+        Code::NoBackend => "no backend takes work now",
+        Code::Overloaded => "the backends are full",
         Code::Deadline => "the deadline cannot be kept",
         Code::WorkspaceLimit => "the workspace has its most calls in flight",
         Code::BadTicket => "the ticket was not issued for this call",
-        Code::TicketLost => "the runner that holds this call's ticket is gone or forgot it",
+        Code::TicketLost => "the backend that holds this call's ticket is gone or forgot it",
         Code::BackEndFailed => "the back end failed",
         _ => "the answer was lost",
     }
--- a/daemon/src/routing.rs
+++ b/daemon/src/routing.rs
@@ -1,8 +1,8 @@
-//! Applies the router's choice to the runners that this entry links to.
+//! Applies the router's choice to the backends that this entry links to.
 
 use currantlink_core::attempt::Ending;
 use currantlink_core::config::Adapter;
-use currantlink_core::ids::{RequestId, RunnerKey, WorkspaceName};
+use currantlink_core::ids::{BackendKey, RequestId, WorkspaceName};
 use currantlink_core::prefix::PrefixHashes;
 use currantlink_core::router::{self, Candidate, Choice, NoChoice};
 
@@ -28,15 +28,15 @@
     pub remaining_ms: u64,
 }
 
-/// Chooses a runner and logs the decision.
+/// Chooses a backend and logs the decision.
 ///
 /// # Errors
 ///
-/// Fails where no runner takes work or none can answer in time.
+/// Fails where no backend takes work or none can answer in time.
 pub fn choose(
     service: &ServiceView,
     query: &Query<'_>,
-    tried: &[RunnerKey],
+    tried: &[BackendKey],
 ) -> Result<Target, Ending> {
     let now_ms = clock::now_ms();
     let holders = service.state.prefixes().holders(now_ms, query.prefixes);
@@ -45,8 +45,8 @@
     let choice = router::choose(&candidates, tried, query.work_tokens, query.remaining_ms, draw);
     log_choice(service, query, tried.len(), &choice);
     match choice {
-        Ok(choice) => find(service, choice.runner).ok_or(Ending::NoRunner),
-        Err(NoChoice::NoRunner) => Err(Ending::NoRunner),
+        Ok(choice) => find(service, choice.backend).ok_or(Ending::NoBackend),
+        Err(NoChoice::NoBackend) => Err(Ending::NoBackend),
         Err(NoChoice::Deadline { late_ms }) => Err(Ending::Refused {
             reason: currantlink_core::gate::Refusal::Deadline,
             retry_after_ms: late_ms,
@@ -57,7 +57,7 @@
 fn candidates(
     service: &ServiceView,
     query: &Query<'_>,
-    holders: &[(RunnerKey, u32)],
+    holders: &[(BackendKey, u32)],
     now_ms: u64,
 ) -> Vec<Candidate> {
     let health = service.state.health();
@@ -65,7 +65,7 @@
     connected
         .filter(|(_, state)| state.connected)
         .map(|(target, state)| Candidate {
-            runner: target.key,
+            backend: target.key,
             reported_tokens: state.status.work_tokens,
             report_age_ms: now_ms.saturating_sub(state.reported_at_ms),
             sent_tokens: target.uplink.unreported_tokens(),
@@ -89,7 +89,7 @@
     }
 }
 
-fn find(service: &ServiceView, key: RunnerKey) -> Option<Target> {
+fn find(service: &ServiceView, key: BackendKey) -> Option<Target> {
     service.targets.iter().find(|t| t.key == key).cloned()
 }
 
@@ -102,10 +102,10 @@
     let (request, workspace) = (query.request, query.workspace);
     match choice {
         Ok(choice) => {
-            let runner = find(service, choice.runner).map(|t| t.name).unwrap_or_default();
+            let backend = find(service, choice.backend).map(|t| t.name).unwrap_or_default();
             log::info!(
                 target: "route",
-                request:% = request, workspace:% = workspace, runner = runner.as_str(),
+                request:% = request, workspace:% = workspace, backend = backend.as_str(),
                 why:% = choice.why, considered = choice.considered, tried,
                 cost_us = choice.cost_us;
                 "routed"
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -122,8 +122,8 @@
     }
 
     /// Returns the failure domain.
-    pub fn place(&self) -> &str {
-        &self.raw.place
+    pub fn failure_domain(&self) -> &str {
+        &self.raw.failure_domain
     }
 
     /// Returns the base of the platform's log.
@@ -170,7 +170,7 @@
         self.raw.traffic_threads.unwrap_or(TRAFFIC_THREADS) as usize
     }
 
-    /// Returns the number of runners of one service to link to.
+    /// Returns the number of backends of one service to link to.
     pub fn subset_size(&self) -> usize {
         self.raw.subset_size.unwrap_or(SUBSET_SIZE) as usize
     }
@@ -218,7 +218,7 @@
     /// Key shared by all processes.
     pub link_key: LinkKey,
     /// Base of the back end.
-    pub backend: http::Uri,
+    pub backend_url: http::Uri,
 }
 
 impl Side {
@@ -248,13 +248,13 @@
     }
 
     /// Returns the failure domain.
-    pub fn place(&self) -> &str {
-        &self.raw.place
+    pub fn failure_domain(&self) -> &str {
+        &self.raw.failure_domain
     }
 
-    /// Returns the runner beside this process.
-    pub fn runner(&self) -> &str {
-        &self.raw.runner
+    /// Returns the backend beside this process.
+    pub fn backend(&self) -> &str {
+        &self.raw.backend
     }
 
     /// Returns the platform's list of instances.
@@ -387,7 +387,7 @@
     checker.positive("ticket_ttl_ms", raw.ticket_ttl_ms)?;
     checker.name("name", &raw.name)?;
     checker.at_least("retention_ms", raw.retention_ms, MEMORY_MS)?;
-    checker.name("runner", &raw.runner)?;
+    checker.name("backend", &raw.backend)?;
     checker.url("list_url", &raw.list_url)?;
     if !raw.store_url.is_empty() {
         checker.url("store_url", &raw.store_url)?;
@@ -396,7 +396,7 @@
         link_address: checker.address("link_address", &raw.link_address)?,
         http_address: checker.address("http_address", &raw.http_address)?,
         link_key: checker.link_key(&raw.link_key_path)?,
-        backend: checker.url("backend_url", &raw.backend_url)?,
+        backend_url: checker.url("backend_url", &raw.backend_url)?,
         raw,
     })
 }
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use crate::backend::Backend;
+use crate::backend::BackendClient;
 use crate::engine::Engine;
 use crate::error::DaemonError;
 use crate::gatekeeper::{Event, Gatekeeper, Outbox, Reason, Setup, SideView};
@@ -62,20 +62,20 @@
     let view: Arc<ArcSwap<SideView>> = Arc::default();
     let (idle, mut stopped) = watch::channel(false);
     let (events, queue) = mpsc::channel(EVENT_QUEUE);
-    let backend = Backend::new(&settings.backend);
+    let client = BackendClient::new(&settings.backend_url);
     let setup = Setup {
         gate: gate(&settings, incarnation),
-        runner: settings.runner().to_owned(),
+        backend: settings.backend().to_owned(),
         capacity: settings.max_running() as u32,
         max_answer_bytes: settings.max_answer_bytes(),
-        backend: backend.clone(),
+        client: client.clone(),
         traffic,
         view: Arc::clone(&view),
         idle,
     };
     let own_events = events.clone();
     control_thread(move || Gatekeeper::new(setup, own_events).run(queue))?;
-    let engine = Engine::new(backend, ORDER_TIMEOUT);
+    let engine = Engine::new(client, ORDER_TIMEOUT);
     let groups = GroupDesk::new(incarnation, engine.clone(), settings.store_url());
     if settings.is_engine() {
         tokio::spawn(engine::watch(engine.clone(), settings.load_poll(), events.clone()));
@@ -93,7 +93,7 @@
     });
     let server = monitor::serve(&shared.settings, view, metrics)?;
     log::info!(
-        side = shared.settings.name(), runner = shared.settings.runner(),
+        side = shared.settings.name(), backend = shared.settings.backend(),
         incarnation:% = Incarnation(incarnation), address:% = listener.local_addr()?;
         "side serves"
     );
@@ -124,7 +124,7 @@
 fn gate(settings: &Side, incarnation: u64) -> Gate {
     let key: [u8; TICKET_KEY_LEN] = rand::random();
     let incarnation = Incarnation(incarnation);
-    let minter = Minter::new(incarnation, settings.runner(), key, settings.ticket_ttl_ms());
+    let minter = Minter::new(incarnation, settings.backend(), key, settings.ticket_ttl_ms());
     let limits = Limits {
         max_running: settings.max_running(),
         max_queued: settings.max_queued(),
@@ -141,14 +141,14 @@
     bound.map_err(|source| DaemonError::Bind { address, source })
 }
 
-/// Drains the runner where the platform's list says that its instance leaves.
+/// Drains the backend where the platform's list says that its instance leaves.
 async fn watch_list(settings: Side, events: mpsc::Sender<Event>) {
     let list = PlatformClient::new(settings.list_url());
     let mut polls = tokio::time::interval(settings.list_poll());
     let mut was_leaving = false;
     loop {
         polls.tick().await;
-        let Ok(own) = list.instance(settings.runner()).await else {
+        let Ok(own) = list.instance(settings.backend()).await else {
             continue;
         };
         let leaving = own.is_some_and(|i| i.is_leaving());
--- a/daemon/src/view.rs
+++ b/daemon/src/view.rs
@@ -6,7 +6,7 @@
 use currantlink_core::config::{Config, Problem};
 use currantlink_core::fold::{Fold, Folded};
 use currantlink_core::health::Health;
-use currantlink_core::ids::RunnerKey;
+use currantlink_core::ids::BackendKey;
 use currantlink_core::prefix::PrefixTable;
 use currantlink_core::reader::Progress;
 use derive_more::Display;
@@ -29,15 +29,15 @@
     Peer,
 }
 
-/// A runner that this entry links to.
+/// A backend that this entry links to.
 #[derive(Clone)]
 pub struct Target {
     /// Key that stays the same while this process lives.
-    pub key: RunnerKey,
+    pub key: BackendKey,
     /// Name.
     pub name: String,
     /// Failure domain.
-    pub place: String,
+    pub failure_domain: String,
     /// Link to its side.
     pub uplink: Arc<Uplink>,
     /// The platform's list or an operator takes it out of service.
@@ -46,7 +46,7 @@
     pub distance_us: u64,
 }
 
-/// What traffic learns about the runners of one service.
+/// What traffic learns about the backends of one service.
 pub struct ServiceState {
     health: Mutex<Health>,
     prefixes: Mutex<PrefixTable>,
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Returns the runners' health.
+    /// Returns the backends' health.
     pub fn health(&self) -> MutexGuard<'_, Health> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -79,10 +79,10 @@
     }
 }
 
-/// Runners of one service with what was learnt about them.
+/// Backends of one service with what was learnt about them.
 #[derive(Clone)]
 pub struct ServiceView {
-    /// Runners in the order of their names.
+    /// Backends in the order of their names.
     pub targets: Arc<Vec<Target>>,
     /// What was learnt.
     pub state: Arc<ServiceState>,
@@ -112,13 +112,13 @@
 }
 
 impl View {
-    /// Returns the linked runner of a service by name.
-    pub fn target(&self, service: &str, runner: &str) -> Option<&Target> {
-        self.services.get(service)?.targets.iter().find(|t| t.name == runner)
+    /// Returns the linked backend of a service by name.
+    pub fn target(&self, service: &str, backend: &str) -> Option<&Target> {
+        self.services.get(service)?.targets.iter().find(|t| t.name == backend)
     }
 
-    /// Returns a linked runner by name.
-    pub fn any_target(&self, runner: &str) -> Option<&Target> {
-        self.services.values().flat_map(|s| s.targets.iter()).find(|t| t.name == runner)
+    /// Returns a linked backend by name.
+    pub fn any_target(&self, backend: &str) -> Option<&Target> {
+        self.services.values().flat_map(|s| s.targets.iter()).find(|t| t.name == backend)
     }
 }
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -101,7 +101,7 @@
     pub sides: Vec<Daemon>,
     pub entries: Vec<Daemon>,
     pub entry_urls: Vec<String>,
-    pub runners: Vec<String>,
+    pub backends: Vec<String>,
     side_addresses: Vec<SocketAddr>,
     pub dir: TempDir,
 }
@@ -135,10 +135,10 @@
 }
 
 impl System {
-    /// Starts everything and waits until every entry can use every runner.
+    /// Starts everything and waits until every entry can use every backend.
     pub async fn start(shape: Shape) -> Self {
         let mut system = Self::stand_ins(shape).await;
-        for index in 0..system.runners.len() {
+        for index in 0..system.backends.len() {
             system.sides[index].start();
         }
         for entry in &mut system.entries {
@@ -165,11 +165,11 @@
             sides: Vec::new(),
             entries: Vec::new(),
             entry_urls: Vec::new(),
-            runners: Vec::new(),
+            backends: Vec::new(),
             side_addresses: Vec::new(),
             dir,
         };
-        system.add_runners(shape, list_address).await;
+        system.add_backends(shape, list_address).await;
         for index in 0..shape.entries {
             system.add_entry(index, log_address, list_address);
         }
@@ -177,11 +177,11 @@
         system
     }
 
-    async fn add_runners(&mut self, shape: Shape, list: SocketAddr) {
+    async fn add_backends(&mut self, shape: Shape, list: SocketAddr) {
         if shape.engines > 0 {
             let options = Options {
-                runners: shape.engines,
-                ranks_per_runner: 2,
+                backends: shape.engines,
+                ranks_per_backend: 2,
                 order_time: Duration::from_millis(5),
                 experts: 16,
                 slots_per_rank: 8,
@@ -204,32 +204,32 @@
 
     async fn add_side(
         &mut self,
-        runner: String,
+        backend: String,
         service: &str,
-        backend: SocketAddr,
+        url_address: SocketAddr,
         list: SocketAddr,
     ) {
         let address = free_address();
         let relay = Relay::new(address);
         let relayed = relay.serve(any_address()).await.unwrap();
         let settings = json!({
-            "name": format!("side-{runner}"), "place": "a", "runner": runner, "service": service,
+            "name": format!("side-{backend}"), "failure_domain": "a", "backend": backend, "service": service,
             "link_address": address.to_string(), "http_address": free_address().to_string(),
-            "backend_url": format!("http://{backend}"), "list_url": format!("http://{list}"),
+            "backend_url": format!("http://{url_address}"), "list_url": format!("http://{list}"),
             "link_key_path": self.dir.path().join("link.key"), "is_engine": service == "llm",
             "list_poll_ms": 100, "load_poll_ms": 20, "sample_ms": 20, "hold_timeout_ms": 300,
             "orphan_ms": 2_000,
         });
-        self.sides.push(self.daemon("side", &runner, &settings));
+        self.sides.push(self.daemon("side", &backend, &settings));
         self.relays.push(relay);
         self.side_addresses.push(relayed);
-        self.runners.push(runner);
+        self.backends.push(backend);
     }
 
     fn add_entry(&mut self, index: usize, log: SocketAddr, list: SocketAddr) {
         let address = free_address();
         let settings = json!({
-            "name": format!("entry-{index}"), "place": "a", "http_address": address.to_string(),
+            "name": format!("entry-{index}"), "failure_domain": "a", "http_address": address.to_string(),
             "log_url": format!("http://{log}"), "list_url": format!("http://{list}"),
             "link_key_path": self.dir.path().join("link.key"),
             "operator_token_sha256": [token_hash(OPERATOR)],
@@ -246,9 +246,9 @@
         Daemon { role, settings: path, child: None }
     }
 
-    /// The list with one runner leaving.
+    /// The list with one backend leaving.
     pub fn instances(&self, leaving: Option<&str>) -> Instances {
-        let pairs = self.runners.iter().zip(&self.side_addresses);
+        let pairs = self.backends.iter().zip(&self.side_addresses);
         let instances = pairs.map(|(name, address)| Instance {
             name: name.clone(),
             address: address.to_string(),
@@ -259,12 +259,12 @@
 
     /// Text of the configuration file that the system starts with.
     pub fn configuration(&self) -> String {
-        let pairs = self.runners.iter().zip(&self.side_addresses);
-        let runners: Vec<Value> = pairs
+        let pairs = self.backends.iter().zip(&self.side_addresses);
+        let backends: Vec<Value> = pairs
             .map(|(name, address)| {
                 let service = name.split('-').next().unwrap();
                 let group = if service == "llm" { "group" } else { "" };
-                json!({ "name": name, "service": service, "place": "a", "group": group,
+                json!({ "name": name, "service": service, "failure_domain": "a", "group": group,
                         "side_address": address.to_string() })
             })
             .collect();
@@ -281,7 +281,7 @@
                 { "name": "style", "service": "llm", "workspace": "member", "size_mb": 100 },
             ],
             "groups": [{ "name": "group", "service": "llm", "skew_weight": 4.0 }],
-            "runners": runners,
+            "backends": backends,
         })
         .to_string()
     }
@@ -327,26 +327,27 @@
         send(method, &url, OPERATOR, &headers, body).await
     }
 
-    /// Waits until every entry is connected to every runner and all have the configuration.
+    /// Waits until every entry is connected to every backend and all have the configuration.
     pub async fn wait_ready(&self) {
         for entry in 0..self.entries.len() {
-            self.wait_for(entry, |runners| runners.iter().all(|r| r["taking_work"] == true)).await;
+            self.wait_for(entry, |backends| backends.iter().all(|r| r["taking_work"] == true))
+                .await;
         }
     }
 
     pub async fn wait_for(&self, entry: usize, ready: impl Fn(&[Value]) -> bool) {
         let end = Instant::now() + PATIENCE;
         loop {
-            let reply = self.operate(entry, Method::GET, "/v1/runners", "").await;
-            let runners = reply.as_ref().map(|r| r.json()).unwrap_or_default();
-            let runners = runners.as_array().cloned().unwrap_or_default();
-            if runners.len() == self.runners.len()
-                && runners.iter().all(|r| r["config_offset"].as_u64() > Some(0))
-                && ready(&runners)
+            let reply = self.operate(entry, Method::GET, "/v1/backends", "").await;
+            let backends = reply.as_ref().map(|r| r.json()).unwrap_or_default();
+            let backends = backends.as_array().cloned().unwrap_or_default();
+            if backends.len() == self.backends.len()
+                && backends.iter().all(|r| r["config_offset"].as_u64() > Some(0))
+                && ready(&backends)
             {
                 return;
             }
-            assert!(Instant::now() < end, "not ready: {runners:?}");
+            assert!(Instant::now() < end, "not ready: {backends:?}");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
--- a/daemon/tests/configuration.rs
+++ b/daemon/tests/configuration.rs
@@ -88,7 +88,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_files() {
     let system = system().await;
-    let wrong = r#"{"runners": [{"name": "x", "service": "nowhere"}], "colour": 1}"#;
+    let wrong = r#"{"backends": [{"name": "x", "service": "nowhere"}], "colour": 1}"#;
     let reply = system.change(0, 10, "20.json", 0, Some(wrong)).await.unwrap();
     assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY);
     assert_eq!(files(&system, 0).await.as_array().unwrap().len(), 1);
@@ -101,6 +101,6 @@
     let offset = reply.json()["offset"].as_u64();
     for entry in [0, 1] {
         let in_force = |r: &serde_json::Value| r["config_offset"].as_u64() >= offset;
-        system.wait_for(entry, |runners| runners.iter().all(in_force)).await;
+        system.wait_for(entry, |backends| backends.iter().all(in_force)).await;
     }
 }
--- a/daemon/tests/faults.rs
+++ b/daemon/tests/faults.rs
@@ -164,7 +164,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn other_runner() {
+async fn other_backend() {
     let mut system = System::start(Shape { plain: 2, ..Shape::default() }).await;
     system.sides[0].kill();
     for _ in 0..20 {
@@ -182,9 +182,9 @@
     let group = system.group.clone().unwrap();
     until("the call runs", || group.record().begun == 1).await;
     call.abort();
-    let url = format!("{}/v1/runners", system.entry_urls[0]);
+    let url = format!("{}/v1/backends", system.entry_urls[0]);
     assert!(!url.is_empty());
-    system.wait_for(0, |runners| runners[0]["running"] == 0).await;
+    system.wait_for(0, |backends| backends[0]["running"] == 0).await;
     assert_eq!(group.record().answered, 0);
 }
 
--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Leaving runners, planned stops and rolling replacement under load.
+//! Leaving backends, planned stops and rolling replacement under load.
 #![allow(clippy::unwrap_used)]
 
 mod common;
@@ -15,11 +15,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_drain() {
     let system = System::start(Shape { plain: 2, lag_ms: 60_000, ..Shape::default() }).await;
-    let path = "/v1/runners/api-0/drain";
+    let path = "/v1/backends/api-0/drain";
     let reply = system.operate(0, Method::POST, path, r#"{"drained": true}"#).await.unwrap();
     assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     let since = Instant::now();
-    system.wait_for(0, |runners| runners[0]["taking_work"] == false).await;
+    system.wait_for(0, |backends| backends[0]["taking_work"] == false).await;
     assert!(since.elapsed() < LEAVE_LIMIT);
     let before = system.plain[0].runs().by_body.len();
     for number in 0..20 {
@@ -37,7 +37,7 @@
     let system = System::start(Shape { plain: 2, ..Shape::default() }).await;
     system.list.set(system.instances(Some("api-1")));
     let since = Instant::now();
-    system.wait_for(0, |runners| runners[1]["taking_work"] == false).await;
+    system.wait_for(0, |backends| backends[1]["taking_work"] == false).await;
     assert!(since.elapsed() < LEAVE_LIMIT);
 }
 
--- a/daemon/tests/links.rs
+++ b/daemon/tests/links.rs
@@ -96,7 +96,7 @@
         ("entry", r#"{"name": ""}"#, "name"),
         ("entry", r#"{"name": "e", "log_url": "nowhere"}"#, "log_url"),
         ("side", r#"{"name": "s", "max_running": 0}"#, "max_running"),
-        ("side", r#"{"name": "s", "runner": "r", "retention_ms": 10}"#, "retention_ms"),
+        ("side", r#"{"name": "s", "backend": "r", "retention_ms": 10}"#, "retention_ms"),
         ("side", r#"{"name": 3}"#, "name"),
     ] {
         let (ok, error) = check(role, text);
--- a/daemon/tests/maps.rs
+++ b/daemon/tests/maps.rs
@@ -14,7 +14,7 @@
 const TURN_MS: u64 = 10;
 
 /// Reports growing token counts in which one expert is hot; the hot one changes now and then.
-async fn feed(group: Group, runners: usize, stop: Arc<AtomicBool>) {
+async fn feed(group: Group, backends: usize, stop: Arc<AtomicBool>) {
     let mut counts = vec![0_u64; EXPERTS];
     for turn in 0_u64.. {
         if stop.load(Ordering::SeqCst) {
@@ -24,19 +24,19 @@
         for (expert, count) in counts.iter_mut().enumerate() {
             *count += if expert == hot { 4_000 } else { 100 + (turn * 7 + expert as u64) % 13 };
         }
-        for runner in 0..runners {
-            group.set_expert_tokens(runner, vec![counts.clone()]);
+        for backend in 0..backends {
+            group.set_expert_tokens(backend, vec![counts.clone()]);
         }
         tokio::time::sleep(Duration::from_millis(TURN_MS)).await;
     }
 }
 
-async fn system(runners: usize) -> (System, Group, Arc<AtomicBool>) {
-    let shape = Shape { engines: runners, plain: 0, ..Shape::default() };
+async fn system(backends: usize) -> (System, Group, Arc<AtomicBool>) {
+    let shape = Shape { engines: backends, plain: 0, ..Shape::default() };
     let system = System::start(shape).await;
     let group = system.group.clone().unwrap();
     let stop = Arc::new(AtomicBool::new(false));
-    tokio::spawn(feed(group.clone(), runners, Arc::clone(&stop)));
+    tokio::spawn(feed(group.clone(), backends, Arc::clone(&stop)));
     (system, group, stop)
 }
 
--- a/daemon/tests/path.rs
+++ b/daemon/tests/path.rs
@@ -30,7 +30,7 @@
     let path = "/v1/models/llm/completions";
     let own = system.call(0, Method::POST, path, body).await.unwrap();
     assert_eq!(own.status, StatusCode::OK, "{own:?}");
-    system.wait_for(0, |runners| runners.iter().any(|r| r["adapters"][0] == "style")).await;
+    system.wait_for(0, |backends| backends.iter().any(|r| r["adapters"][0] == "style")).await;
     let url = format!("{}{path}", system.entry_urls[0]);
     let foreign = send(Method::POST, &url, OTHER_TOKEN, &[], body).await.unwrap();
     assert_eq!(foreign.status, StatusCode::NOT_FOUND);
@@ -119,12 +119,12 @@
     system.complete(0, "hello", 2, false).await.unwrap();
     let status = system.operate(0, Method::GET, "/v1/status", "").await.unwrap().json();
     assert_eq!(
-        (&status["runners_connected"], &status["config_source"]),
+        (&status["backends_connected"], &status["config_source"]),
         (&4.into(), &"log".into())
     );
     let metrics = system.operate(0, Method::GET, "/metrics", "").await.unwrap();
     let metrics = String::from_utf8(metrics.body.to_vec()).unwrap();
     assert!(metrics.contains("currantlink_requests_total 1"), "{metrics}");
     let document = system.operate(0, Method::GET, "/openapi.json", "").await.unwrap().json();
-    assert!(document["paths"]["/v1/runners"].is_object());
+    assert!(document["paths"]["/v1/backends"].is_object());
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,4 +1,4 @@
-//! Stand-in of a model engine: runners whose ranks step in lock-step as one group.
+//! Stand-in of a model engine: backends whose ranks step in lock-step as one group.
 
 use std::io;
 use std::net::SocketAddr;
@@ -18,10 +18,10 @@
 /// Shape and speed of a group.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Runners of the group.
-    pub runners: usize,
-    /// Ranks of each runner.
-    pub ranks_per_runner: usize,
+    /// Backends of the group.
+    pub backends: usize,
+    /// Ranks of each backend.
+    pub ranks_per_backend: usize,
     /// Time of one step.
     pub step: Duration,
     /// Orders with an old fencing number are refused.
@@ -37,8 +37,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            runners: 1,
-            ranks_per_runner: 2,
+            backends: 1,
+            ranks_per_backend: 2,
             step: Duration::from_millis(5),
             checks_fence: false,
             order_time: Duration::ZERO,
@@ -80,7 +80,7 @@
     pub experts: Vec<u32>,
 }
 
-/// A group of ranks behind several runners.
+/// A group of ranks behind several backends.
 #[derive(Clone)]
 pub struct Group {
     options: Options,
@@ -132,7 +132,7 @@
     pub layers: Vec<Layer>,
 }
 
-/// State of one runner's ranks.
+/// State of one backend's ranks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct MapState {
     /// Version in use; the least where the ranks differ.
@@ -143,7 +143,7 @@
     pub held: bool,
     /// Greatest fencing number seen.
     pub fence: u64,
-    /// Ranks of this runner.
+    /// Ranks of this backend.
     pub ranks: usize,
     /// The map in use.
     pub layers: Vec<Layer>,
@@ -160,7 +160,7 @@
 impl Group {
     /// Starts a group that steps until the process ends.
     pub fn start(options: Options) -> Self {
-        let ranks = vec![Rank::default(); options.runners * options.ranks_per_runner];
+        let ranks = vec![Rank::default(); options.backends * options.ranks_per_backend];
         let maps = IndexMap::from([(0, first_map(&options))]);
         let state = Arc::new(Mutex::new(State { ranks, maps, ..State::default() }));
         let group = Self { options, state, steps: Arc::new(watch::Sender::new(0)) };
@@ -168,16 +168,16 @@
         group
     }
 
-    /// Serves one runner over HTTP.
+    /// Serves one backend over HTTP.
     ///
     /// # Errors
     ///
     /// Fails where the address cannot be bound.
-    pub async fn serve(&self, runner: usize, address: SocketAddr) -> io::Result<SocketAddr> {
+    pub async fn serve(&self, backend: usize, address: SocketAddr) -> io::Result<SocketAddr> {
         let group = self.clone();
         server::serve(address, move |call| {
             let group = group.clone();
-            Box::pin(async move { group.answer(runner, call).await })
+            Box::pin(async move { group.answer(backend, call).await })
         })
         .await
     }
@@ -197,9 +197,9 @@
         }
     }
 
-    /// Sets the tokens per layer and expert that a runner has counted since its start.
-    pub fn set_expert_tokens(&self, runner: usize, layers: Vec<Vec<u64>>) {
-        self.lock().expert_tokens.insert(runner, layers);
+    /// Sets the tokens per layer and expert that a backend has counted since its start.
+    pub fn set_expert_tokens(&self, backend: usize, layers: Vec<Vec<u64>>) {
+        self.lock().expert_tokens.insert(backend, layers);
     }
 
     async fn run(self) {
@@ -212,21 +212,21 @@
         }
     }
 
-    async fn answer(&self, runner: usize, call: Call) -> http::Response<server::Body> {
+    async fn answer(&self, backend: usize, call: Call) -> http::Response<server::Body> {
         match (call.head.method.as_str(), call.path()) {
-            ("POST", "/v1/completions") => self.complete(runner, &call).await,
-            ("GET", "/load") => server::json(&self.load(runner)),
+            ("POST", "/v1/completions") => self.complete(backend, &call).await,
+            ("GET", "/load") => server::json(&self.load(backend)),
             ("GET", "/record") => server::json(&self.record()),
-            ("GET", "/map") => server::json(&self.map_state(runner)),
+            ("GET", "/map") => server::json(&self.map_state(backend)),
             ("POST", "/map/stage" | "/map/hold" | "/map/switch" | "/map/release") => {
-                self.order(runner, &call).await
+                self.order(backend, &call).await
             }
             ("POST", "/adapters") => self.load_adapter(&call),
             _ => server::status(StatusCode::NOT_FOUND),
         }
     }
 
-    async fn complete(&self, runner: usize, call: &Call) -> http::Response<server::Body> {
+    async fn complete(&self, backend: usize, call: &Call) -> http::Response<server::Body> {
         let Some(completion) = call.json::<Completion>() else {
             return server::status(StatusCode::BAD_REQUEST);
         };
@@ -235,7 +235,7 @@
         {
             return server::status(StatusCode::NOT_FOUND);
         }
-        let running = Running::begin(self.clone(), runner);
+        let running = Running::begin(self.clone(), backend);
         let id = call.header("x-request-id").unwrap_or_default().to_owned();
         let tokens = tokens(&completion.prompt, completion.max_tokens.unwrap_or(16));
         let steps = self.steps.subscribe();
@@ -269,13 +269,13 @@
         let _ = steps.wait_for(|&step| step >= end).await;
     }
 
-    fn load(&self, runner: usize) -> Load {
+    fn load(&self, backend: usize) -> Load {
         let state = self.lock();
         Load {
-            running: state.running.get(&runner).copied().unwrap_or(0),
+            running: state.running.get(&backend).copied().unwrap_or(0),
             adapters: state.adapters.iter().cloned().collect(),
-            map_version: state.ranks[self.ranks(runner).start].map_version,
-            expert_tokens: state.expert_tokens.get(&runner).cloned().unwrap_or_default(),
+            map_version: state.ranks[self.ranks(backend).start].map_version,
+            expert_tokens: state.expert_tokens.get(&backend).cloned().unwrap_or_default(),
         }
     }
 
@@ -289,7 +289,7 @@
         }
     }
 
-    async fn order(&self, runner: usize, call: &Call) -> http::Response<server::Body> {
+    async fn order(&self, backend: usize, call: &Call) -> http::Response<server::Body> {
         let Some(order) = call.json::<MapOrder>() else {
             return server::status(StatusCode::BAD_REQUEST);
         };
@@ -298,7 +298,7 @@
         if !order.layers.is_empty() {
             state.maps.insert(order.version, order.layers.clone());
         }
-        for index in self.ranks(runner) {
+        for index in self.ranks(backend) {
             let rank = &mut state.ranks[index];
             if self.options.checks_fence && order.fence < rank.fence {
                 return server::status(StatusCode::CONFLICT);
@@ -322,12 +322,12 @@
             state.switches += u64::from(switched);
         }
         drop(state);
-        server::json(&self.map_state(runner))
+        server::json(&self.map_state(backend))
     }
 
-    fn map_state(&self, runner: usize) -> MapState {
+    fn map_state(&self, backend: usize) -> MapState {
         let state = self.lock();
-        let ranks = &state.ranks[self.ranks(runner)];
+        let ranks = &state.ranks[self.ranks(backend)];
         let version = ranks.iter().map(|r| r.map_version).min().unwrap_or(0);
         MapState {
             ranks: ranks.len(),
@@ -344,9 +344,9 @@
         }
     }
 
-    fn ranks(&self, runner: usize) -> std::ops::Range<usize> {
-        let per_runner = self.options.ranks_per_runner;
-        runner * per_runner..(runner + 1) * per_runner
+    fn ranks(&self, backend: usize) -> std::ops::Range<usize> {
+        let per_backend = self.options.ranks_per_backend;
+        backend * per_backend..(backend + 1) * per_backend
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -383,16 +383,16 @@
 /// A running request; dropped before its end it was cancelled.
 struct Running {
     group: Group,
-    runner: usize,
+    backend: usize,
 }
 
 impl Running {
-    fn begin(group: Group, runner: usize) -> Self {
+    fn begin(group: Group, backend: usize) -> Self {
         let mut state = group.lock();
         state.begun += 1;
-        *state.running.entry(runner).or_default() += 1;
+        *state.running.entry(backend).or_default() += 1;
         drop(state);
-        Self { group, runner }
+        Self { group, backend }
     }
 
     fn finish(self) {
@@ -402,7 +402,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        if let Some(count) = self.group.lock().running.get_mut(&self.runner) {
+        if let Some(count) = self.group.lock().running.get_mut(&self.backend) {
             *count -= 1;
         }
     }
@@ -410,7 +410,7 @@
 
 /// One layer with the experts dealt over the slots, rank by rank.
 fn first_map(options: &Options) -> Vec<Layer> {
-    let ranks = options.runners * options.ranks_per_runner;
+    let ranks = options.backends * options.ranks_per_backend;
     let slots = ranks * options.slots_per_rank as usize;
     let experts = (0..slots as u32).map(|slot| slot % options.experts.max(1));
     vec![Layer { slots_per_rank: options.slots_per_rank, experts: experts.collect() }]
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -49,13 +49,13 @@
         #[bpaf(argument("MS"), fallback(50))]
         transfer_ms: u64,
     },
-    /// Group of ranks behind one or more runners.
+    /// Group of ranks behind one or more backends.
     #[bpaf(command)]
     Engine {
-        /// Address of each runner.
-        #[bpaf(argument("IP:PORT"), some("an engine has at least one runner"))]
+        /// Address of each backend.
+        #[bpaf(argument("IP:PORT"), some("an engine has at least one backend"))]
         address: Vec<SocketAddr>,
-        /// Ranks of each runner.
+        /// Ranks of each backend.
         #[bpaf(argument("COUNT"), fallback(2))]
         ranks: usize,
         /// Time of one step.
@@ -93,7 +93,7 @@
         /// Plain service.
         #[bpaf(argument("IP:PORT"), many)]
         plain: Vec<SocketAddr>,
-        /// One runner of each group.
+        /// One backend of each group.
         #[bpaf(argument("IP:PORT"), many)]
         engine: Vec<SocketAddr>,
         /// Requests that were sent.
@@ -140,8 +140,8 @@
         }
         Args::Engine { address, ranks, step_ms, order_ms, checks_fence } => {
             let options = Options {
-                runners: address.len(),
-                ranks_per_runner: ranks,
+                backends: address.len(),
+                ranks_per_backend: ranks,
                 step: Duration::from_millis(step_ms),
                 checks_fence,
                 order_time: Duration::from_millis(order_ms),
@@ -188,8 +188,8 @@
 async fn serve_engine(options: Options, addresses: &[SocketAddr]) -> io::Result<Vec<SocketAddr>> {
     let group = Group::start(options);
     let mut bound = Vec::new();
-    for (runner, &address) in addresses.iter().enumerate() {
-        bound.push(group.serve(runner, address).await?);
+    for (backend, &address) in addresses.iter().enumerate() {
+        bound.push(group.serve(backend, address).await?);
     }
     Ok(bound)
 }
