Take the newest backend at an address, count all gateways in the retry share, keep order connections

A gateway that had just started took itself for the only one and used the whole slack. Ruled out: the store's history (the listing was right, the old entries lapse after three heartbeats). Change: a newer entry removes older ones at its address; an id that another backend answered for is not tried again; before peers have greeted, all registered gateways count. Orders reuse one connection per backend, and a map being copied is sent again after 500 ms instead of 150.

--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -41,7 +41,8 @@
 
     /// Returns the recent choices by set and expert, where there are enough to plan with.
     pub fn rates(&self) -> Option<Vec<Vec<f64>>> {
-        let sets: Vec<Vec<f64>> = self.rates.chunks(self.experts.max(1)).map(<[_]>::to_vec).collect();
+        let sets: Vec<Vec<f64>> =
+            self.rates.chunks(self.experts.max(1)).map(<[_]>::to_vec).collect();
         let enough = |set: &Vec<f64>| set.iter().sum::<f64>() >= MIN_CHOICES;
         (sets.len() == self.sets && sets.iter().all(enough)).then_some(sets)
     }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -95,6 +95,7 @@
                 self.update(key, said)
             }
             (Observation::Present(said), _) => {
+                self.supersede(&said);
                 let key = FleetKey(self.members.len() as u32);
                 let leaving = said.draining;
                 self.members.push(Member { id: id.to_owned(), said, leaving, dropped_at_ms: None });
@@ -113,7 +114,7 @@
         }
     }
 
-    /// Takes a full listing: what it lacks was dropped.
+    /// Takes a full listing, oldest entries first: what it lacks was dropped.
     pub fn replace(&mut self, listing: Vec<(String, Observation)>, now_ms: u64) -> bool {
         let mut changed = false;
         let named: IndexMap<&str, ()> = listing.iter().map(|(id, _)| (id.as_str(), ())).collect();
@@ -150,6 +151,15 @@
         self.by_id.len() != before
     }
 
+    /// Removes the backends that had the address before: entries of crashed ones stay for a while.
+    fn supersede(&mut self, said: &Announcement) {
+        let members = &self.members;
+        self.by_id.retain(|_, key| {
+            let known = &members[key.0 as usize].said;
+            known.address != said.address || known.born_ms > said.born_ms
+        });
+    }
+
     fn same_life(&self, key: FleetKey, said: &Announcement) -> bool {
         let known = &self.members[key.0 as usize].said;
         known.born_ms == said.born_ms
--- a/core/src/rebalance.rs
+++ b/core/src/rebalance.rs
@@ -95,7 +95,8 @@
 
 impl<'a> Search<'a> {
     fn new(map: &ExpertMap, rates: &[Vec<f64>], figures: &'a ExpertFigures) -> Self {
-        let sets: Vec<Set> = map.iter().zip(rates).map(|(set, rates)| Set::new(set, rates)).collect();
+        let sets: Vec<Set> =
+            map.iter().zip(rates).map(|(set, rates)| Set::new(set, rates)).collect();
         let ranks = map.first().map_or(0, Vec::len);
         Self { sets, new_per_rank: vec![0; ranks], figures }
     }
--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -24,6 +24,8 @@
 pub const STATE_LIFE_MS: u64 = 400;
 /// Time after which an order without visible effect is sent again.
 pub const RESEND_MS: u64 = 150;
+/// Time after which a map that is not yet prepared is sent again: about that of a copy.
+pub const RESEND_PREPARE_MS: u64 = 500;
 /// Time after which a map that some rank does not get prepared is given up.
 pub const PREPARE_LIMIT_MS: u64 = 8_000;
 
@@ -219,7 +221,8 @@
 
     /// Returns whether a change may start: all ranks are known, agree and have nothing under way.
     pub fn is_ready(&self, now_ms: u64, ranks: &[Option<Observed>]) -> bool {
-        self.phase == Phase::Idle && self.whole(now_ms, ranks).is_some_and(|all| all.iter().all(quiet))
+        self.phase == Phase::Idle
+            && self.whole(now_ms, ranks).is_some_and(|all| all.iter().all(quiet))
     }
 
     /// Starts a change to `map`; only where `is_ready`. Returns its version, which no other leader
@@ -272,7 +275,9 @@
                 Some(Phase::Hold { version, step: begun + LEAD_PASSES })
             }
             Phase::Hold { .. } => None,
-            Phase::Arm { version, step } if all.iter().all(|o| o.state.armed == Some((version, step))) => {
+            Phase::Arm { version, step }
+                if all.iter().all(|o| o.state.armed == Some((version, step))) =>
+            {
                 Some(Phase::Go { step })
             }
             // Another leader released it.
@@ -327,9 +332,13 @@
                 continue;
             };
             let number = observed.state.orders;
+            let pause_ms = match action {
+                Action::Prepare { .. } => RESEND_PREPARE_MS,
+                _ => RESEND_MS,
+            };
             let repeated = self.sent[rank].as_ref().is_some_and(|sent| {
-                let same = sent.action == action && sent.orders == number;
-                same && now_ms < sent.at_ms + RESEND_MS
+                let is_same = sent.action == action && now_ms < sent.at_ms + pause_ms;
+                is_same && (sent.orders == number || pause_ms == RESEND_PREPARE_MS)
             });
             if repeated || now_ms > observed.at_ms + STATE_LIFE_MS {
                 continue;
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -14,6 +14,7 @@
 use currantlink_wire::peers::{
     Hello, Lead, Load, Peer, PeerMessage, RankReport, Role, peer_message,
 };
+use indexmap::IndexMap;
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::now_ms;
@@ -177,6 +178,7 @@
     claimed_ms: u64,
     lead_sent_ms: u64,
     load_sent: Option<(u64, Load)>,
+    givers: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
 }
 
 impl Agent {
@@ -201,6 +203,7 @@
             claimed_ms: 0,
             lead_sent_ms: 0,
             load_sent: None,
+            givers: IndexMap::new(),
         }
     }
 
@@ -283,7 +286,12 @@
                     return;
                 };
                 match orders::decode_report(report) {
-                    Ok(report) if self.rank.as_ref().is_some_and(|own| own.group == report.state.group) => {
+                    Ok(report)
+                        if self
+                            .rank
+                            .as_ref()
+                            .is_some_and(|own| own.group == report.state.group) =>
+                    {
                         conductor.heard(now_ms(), from, report);
                         if conductor.is_changing() {
                             self.conduct().await;
@@ -319,22 +327,19 @@
         self.leader = Some(Leader { fence: lead.fence, address: from, heard_ms: now });
     }
 
-    /// Gives an order to a backend and reads the own one's state right after.
+    /// Has an order given to a backend, after which the own one's state is read at once.
     fn execute(&mut self, order: Order, backend: SocketAddr) {
         let until = now_ms() + BUSY_MS;
         self.busy_until_ms.store(until, std::sync::atomic::Ordering::Relaxed);
         let wake = Arc::clone(&self.wake);
-        tokio::spawn(async move {
-            let outcome = RankClient::new(backend).order(&order).await;
-            let (action, fence) = (name(&order.action), order.fence);
-            match outcome {
-                Ok(outcome) => log::info!(action, fence, outcome:% = outcome; "order given"),
-                Err(error) => {
-                    log::info!(action, fence, error:% = error; "order not answered");
-                }
-            }
-            wake.notify_one();
+        let giver = self.givers.entry(backend).or_insert_with(|| {
+            let (orders, queue) = mpsc::unbounded_channel();
+            tokio::spawn(give(backend, queue, wake));
+            orders
         });
+        if giver.send(order).is_err() {
+            log::error!(backend:% = backend; "order not given");
+        }
     }
 
     async fn conduct(&mut self) {
@@ -383,7 +388,10 @@
         }
         let heard_ms = self.leader.map_or(self.started_ms, |leader| leader.heard_ms);
         let life_ms = LEADER_LIFE_MS + TURN_MS * u64::from(rank.rank);
-        if now > heard_ms + life_ms && now > self.claimed_ms + CLAIM_EVERY_MS && self.figures().is_some() {
+        if now > heard_ms + life_ms
+            && now > self.claimed_ms + CLAIM_EVERY_MS
+            && self.figures().is_some()
+        {
             self.claimed_ms = now;
             self.claim(rank.group);
         }
@@ -441,6 +449,24 @@
     }
 }
 
+/// Gives orders to one backend, one after the other.
+async fn give(backend: SocketAddr, mut orders: mpsc::UnboundedReceiver<Order>, wake: Arc<Notify>) {
+    let mut client = RankClient::new(backend);
+    while let Some(order) = orders.recv().await {
+        let (action, fence) = (name(&order.action), order.fence);
+        match client.order(&order).await {
+            Ok(outcome) => {
+                log::info!(action, fence, backend:% = backend, outcome:% = outcome; "order given");
+            }
+            Err(error) => {
+                log::info!(action, fence, backend:% = backend, error:% = error;
+                    "order not answered");
+            }
+        }
+        wake.notify_one();
+    }
+}
+
 fn name(action: &Action) -> &'static str {
     match action {
         Action::Prepare { .. } => "prepare",
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -134,7 +134,10 @@
             self.plan(now_ms);
             orders.extend(self.switch.advance(now_ms, &self.states));
         }
-        orders.into_iter().filter_map(|(rank, order)| Some((self.way(now_ms, rank)?, order))).collect()
+        orders
+            .into_iter()
+            .filter_map(|(rank, order)| Some((self.way(now_ms, rank)?, order)))
+            .collect()
     }
 
     fn plan(&mut self, now_ms: u64) {
@@ -174,7 +177,6 @@
     }
 }
 
-
 /// A leader that was heard of.
 #[derive(Clone, Copy, Debug)]
 pub struct Leader {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -37,6 +37,8 @@
 const CLOSE_AFTER: Duration = Duration::from_millis(2_600);
 /// Time before the end of the grace at which the process ends in any case.
 const LAST: Duration = Duration::from_millis(300);
+/// Gateways that are assumed while their number is not known: more than small deployments have.
+const UNKNOWN_GATEWAYS: usize = 8;
 /// Time for which peers are told of a backend that leaves.
 const LEAVING_TOLD_MS: u64 = 10_000;
 
@@ -155,7 +157,7 @@
 
 impl Control {
     fn new(peers: Peers, shared: SharedBelief, loads: Arc<Loads>) -> Self {
-        let belief = Belief { gateways: 1, ..Belief::default() };
+        let belief = Belief { gateways: UNKNOWN_GATEWAYS, ..Belief::default() };
         let (fleet, leaving) = (Fleet::default(), VecDeque::new());
         Self { peers, shared, loads, belief, fleet, leaving }
     }
@@ -235,7 +237,7 @@
 
     async fn tick(&mut self) {
         let now = now_ms();
-        let gateways = 1 + self.peers.alive(Role::Gateway).count();
+        let gateways = self.peers.count(Role::Gateway).unwrap_or(UNKNOWN_GATEWAYS);
         let settled = self.fleet.settle(now);
         if settled || gateways != self.belief.gateways {
             self.belief.gateways = gateways;
--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -89,11 +89,7 @@
     }
 }
 
-async fn serve_caller(
-    gateway: Rc<Gateway>,
-    stream: TcpStream,
-    mut closing: watch::Receiver<bool>,
-) {
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let limits = gateway.caller_limits();
     let idle_limit = Duration::from_millis(limits.idle_ms);
     let activity = Rc::new(Activity { active: Cell::new(0), since: Cell::new(Instant::now()) });
@@ -141,7 +137,10 @@
 }
 
 /// Serves a small page until the process ends.
-pub async fn serve_pages(listener: TcpListener, page: impl Fn(&str) -> Option<Response<Outbound>> + 'static) {
+pub async fn serve_pages(
+    listener: TcpListener,
+    page: impl Fn(&str) -> Option<Response<Outbound>> + 'static,
+) {
     let page = Rc::new(page);
     loop {
         let Some(stream) = accept(&listener).await else {
@@ -149,7 +148,8 @@
         };
         let page = Rc::clone(&page);
         let service = service_fn(move |request: Request<Incoming>| {
-            let response = page(request.uri().path()).unwrap_or_else(|| status(StatusCode::NOT_FOUND));
+            let response =
+                page(request.uri().path()).unwrap_or_else(|| status(StatusCode::NOT_FOUND));
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::task::spawn_local(async move {
@@ -195,6 +195,5 @@
 ///
 /// Fails where the address is in use.
 pub fn listen(address: SocketAddr) -> Result<TcpListener, crate::error::DaemonError> {
-    sockets::listen(address)
-        .map_err(|source| crate::error::DaemonError::Bind { address, source })
+    sockets::listen(address).map_err(|source| crate::error::DaemonError::Bind { address, source })
 }
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use currantlink_core::switch::{Action, Order, RankState};
-use currantlink_wire::peers::{
-    Arming, Command, ExpertSet, Experts, Prepare, RankReport, command,
-};
+use currantlink_wire::peers::{Arming, Command, ExpertSet, Experts, Prepare, RankReport, command};
 
 use crate::conductor::Report;
 
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -21,6 +21,8 @@
 pub const HELLO_EVERY_MS: u64 = 500;
 /// Silence after which a peer is taken as gone: some greetings may be lost.
 pub const PEER_LIFE_MS: u64 = 2_000;
+/// Time after the start by which live peers have greeted, also those that start at the same time.
+const GREETED_MS: u64 = 10_000;
 /// Silence after which a peer is forgotten; until then it is greeted, as it may be back.
 const FORGET_MS: u64 = 60_000;
 
@@ -113,6 +115,19 @@
         self.known.values().filter(alive).map(|k| (&k.peer, k.address))
     }
 
+    /// Returns how many processes of a role there are, this one included where it has the role;
+    /// nothing before the store told. Until they have had time to greet, all that ever registered
+    /// count.
+    pub fn count(&self, role: Role) -> Option<usize> {
+        self.keys.first()?;
+        let own = usize::from(self.own.role() == role);
+        let others = match now_ms() < GREETED_MS {
+            true => self.known.values().filter(|known| known.peer.role() == role).count(),
+            false => self.alive(role).count(),
+        };
+        Some(own + others)
+    }
+
     /// Greets all peers, where it is time.
     pub async fn greet(&mut self, hello: impl FnOnce() -> Hello) {
         let now = now_ms();
--- a/daemon/src/relayed.rs
+++ b/daemon/src/relayed.rs
@@ -80,7 +80,8 @@
             return false;
         }
         let last_event_id = self.splitter.last_id();
-        let started = self.gateway.start(&self.call, &mut self.relay, &mut self.tried, last_event_id);
+        let started =
+            self.gateway.start(&self.call, &mut self.relay, &mut self.tried, last_event_id);
         match started.await {
             Ok(Started::Answered(answered)) => {
                 let request = self.call.attempt_id.as_str();
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -18,7 +18,7 @@
 use http::{HeaderMap, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::time::Instant;
 
 use crate::belief::{Loads, SharedBelief};
@@ -68,6 +68,8 @@
 struct Learned {
     shares: IndexMap<String, RetryShare>,
     health: Health<FleetKey>,
+    /// Backends whose address another one answered at.
+    misplaced: IndexSet<FleetKey>,
     durations_ms: IndexMap<String, f64>,
     longest_deadlines_ms: IndexMap<String, u64>,
 }
@@ -162,11 +164,12 @@
     /// Closes idle connections that are too old and forgets backends that are gone.
     pub fn sweep(&self) {
         let belief = self.belief.load();
-        let known = |key| {
-            belief.fleet.get(key).is_some_and(|m| belief.fleet.by_id(&m.id) == Some(key))
-        };
+        let known =
+            |key| belief.fleet.get(key).is_some_and(|m| belief.fleet.by_id(&m.id) == Some(key));
         self.pool.sweep(known);
-        self.learned.borrow_mut().health.retain(known);
+        let mut learned = self.learned.borrow_mut();
+        learned.health.retain(known);
+        learned.misplaced.retain(|&key| known(key));
     }
 
     /// Serves one request.
@@ -351,9 +354,7 @@
                 Attempt::Failed(answered) => {
                     let head = answered.head.clone();
                     match self.collect(call, answered).await {
-                        Ok(body) => {
-                            (Outcome::Failed, Some(response(&head, Outbound::whole(body))))
-                        }
+                        Ok(body) => (Outcome::Failed, Some(response(&head, Outbound::whole(body)))),
                         Err(error) => {
                             self.attempt_failed(call, key, &error);
                             (Outcome::Unknown, None)
@@ -424,7 +425,11 @@
                 let misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
                 self.drain_refusal(call, answered).await;
                 match misdirected {
-                    true => Attempt::Ended(Outcome::Misdirected),
+                    true => {
+                        log::info!(backend = member.id.as_str(); "another backend has the address");
+                        self.learned.borrow_mut().misplaced.insert(key);
+                        Attempt::Ended(Outcome::Misdirected)
+                    }
                     false => Attempt::Ended(Outcome::NotRun),
                 }
             }
@@ -496,11 +501,7 @@
         }
     }
 
-    async fn collect(
-        &self,
-        call: &Call,
-        answered: Box<Answered>,
-    ) -> Result<Bytes, UpstreamError> {
+    async fn collect(&self, call: &Call, answered: Box<Answered>) -> Result<Bytes, UpstreamError> {
         let Answered { head, facts, mut upstream, claim, .. } = *answered;
         let mut framing = head.framing;
         let reading = async {
@@ -536,6 +537,7 @@
         let learned = self.learned.borrow();
         let domain = self.settings.common.failure_domain();
         let candidates = belief.fleet.open(&pool.name).filter(|(key, _)| !tried.contains(key));
+        let candidates = candidates.filter(|(key, _)| !learned.misplaced.contains(key));
         let candidates = candidates.map(|(key, member)| {
             let report = self.loads.get(member.said.address);
             let report = report.filter(|r| r.at_ms + REPORT_LIFE_MS > now);
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -436,7 +436,12 @@
 }
 
 impl Checker<'_> {
-    pub(crate) fn error(&self, field: &'static str, value: &str, expected: &'static str) -> SettingsError {
+    pub(crate) fn error(
+        &self,
+        field: &'static str,
+        value: &str,
+        expected: &'static str,
+    ) -> SettingsError {
         let (path, value) = (self.path.to_owned(), value.to_owned());
         SettingsError::Value { path, field, value, expected }
     }
@@ -465,7 +470,11 @@
         }
     }
 
-    pub(crate) fn address(&self, field: &'static str, value: &str) -> Result<SocketAddr, SettingsError> {
+    pub(crate) fn address(
+        &self,
+        field: &'static str,
+        value: &str,
+    ) -> Result<SocketAddr, SettingsError> {
         value.parse().map_err(|_| self.error(field, value, "an address IP:PORT"))
     }
 
--- a/daemon/src/sockets.rs
+++ b/daemon/src/sockets.rs
@@ -52,10 +52,8 @@
 /// Fails where the system refuses an option.
 pub fn watch(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_EVERY)
-        .with_retries(PROBES);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_EVERY).with_retries(PROBES);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
