Test the decisions of the platform path

Cause: relay, fleet, spread, share, events, rebalance and switch had no tests yet. Orders without an answer are sent again by the agent that gives them; the held pass moves further ahead where arming took long; a stalled group is reported; SIGHUP is handled (it ended the process).

--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -37,6 +37,11 @@
         Self { figures, buckets: VecDeque::new() }
     }
 
+    /// Takes over changed figures.
+    pub fn set_figures(&mut self, figures: BudgetFigures) {
+        self.figures = figures;
+    }
+
     /// Notes a request.
     pub fn request(&mut self, now_ms: u64) {
         self.bucket(now_ms).requests += 1;
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -14,8 +14,8 @@
     pub queued: u32,
     /// Time of the report.
     pub at_ms: u64,
-    /// The backend's group serves.
-    pub is_open: bool,
+    /// The backend's group serves and makes progress.
+    pub serves: bool,
 }
 
 /// A backend that could get the request.
@@ -64,7 +64,7 @@
 /// Picks the least loaded backend that has no more than `queue_limit` requests beyond its slots.
 /// `draw` is uniform and breaks ties.
 pub fn choose(candidates: &[Candidate], queue_limit: u32, draw: u64) -> Choice {
-    let forming = |c: &Candidate| c.report.is_some_and(|r| !r.is_open);
+    let forming = |c: &Candidate| c.report.is_some_and(|r| !r.serves);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
     if usable.is_empty() {
         return if candidates.is_empty() { Choice::Nobody } else { Choice::Forming };
--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -17,9 +17,11 @@
 
 use derive_more::Display;
 
-/// Passes between the observation and the pass that is held. Arming takes one exchange with the
+/// Least passes between the observation and the pass that is held. Arming takes one exchange with the
 /// sides of all ranks, a few milliseconds each way; a pass takes tens of milliseconds.
 pub const LEAD_PASSES: u64 = 3;
+/// Most passes between the observation and the pass that is held.
+pub const MAX_LEAD_PASSES: u64 = 12;
 /// Age after which a rank's state is not used for an order.
 pub const STATE_LIFE_MS: u64 = 400;
 /// Time after which an order without visible effect is sent again.
@@ -179,6 +181,7 @@
     changes: u64,
     sent: Vec<Option<Sent>>,
     ended: Option<Ended>,
+    lead_passes: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -201,6 +204,7 @@
             changes: 0,
             sent: vec![None; size],
             ended: None,
+            lead_passes: LEAD_PASSES,
         }
     }
 
@@ -265,14 +269,14 @@
             Phase::Idle => held.map(|step| self.finish(step, &all)),
             Phase::Prepare { .. } if held.is_some() => held.map(|step| self.finish(step, &all)),
             Phase::Prepare { version } if all.iter().all(|o| has_prepared(o, version)) => {
-                Some(Phase::Hold { version, step: begun + LEAD_PASSES })
+                Some(Phase::Hold { version, step: begun + self.lead_passes })
             }
             Phase::Prepare { .. } => return self.expire(now_ms),
             Phase::Hold { version, step } if held == Some(step) => {
                 Some(Phase::Arm { version, step })
             }
             Phase::Hold { version, step } if begun >= step => {
-                Some(Phase::Hold { version, step: begun + LEAD_PASSES })
+                Some(Phase::Hold { version, step: begun + self.lead_passes })
             }
             Phase::Hold { .. } => None,
             Phase::Arm { version, step }
@@ -294,6 +298,9 @@
         };
         match next {
             Some(next) if next != self.phase => {
+                if let Phase::Go { step } = next {
+                    self.learn_lead(step, begun);
+                }
                 self.enter(now_ms, next);
                 true
             }
@@ -301,6 +308,14 @@
         }
     }
 
+    /// Where the group had to wait for the arming, the next pass is held from further ahead; where it
+    /// was armed early, from less far.
+    fn learn_lead(&mut self, step: u64, begun: u64) {
+        let waited = begun + 1 >= step;
+        let next = if waited { self.lead_passes * 2 } else { self.lead_passes - 1 };
+        self.lead_passes = next.clamp(LEAD_PASSES, MAX_LEAD_PASSES);
+    }
+
     /// What a group needs that is held before `step`, maybe by a leader that is gone.
     fn finish(&self, step: u64, all: &[Observed]) -> Phase {
         let armed = all.iter().find_map(|o| o.state.armed.filter(|&(_, at)| at == step));
--- /dev/null
+++ b/core/tests/events.rs
@@ -0,0 +1,46 @@
+//! Event streams are cut into whole events wherever the bytes are split.
+
+use currantlink_core::events::{EventSplitter, MAX_EVENT_BYTES};
+use proptest::prelude::*;
+
+fn stream(count: u64) -> Vec<u8> {
+    (1..=count).flat_map(|id| format!("id: {id}\ndata: piece {id}\n\n").into_bytes()).collect()
+}
+
+proptest! {
+    #[test]
+    fn any_split(count in 1u64..30, cuts in prop::collection::vec(0usize..600, 0..20), end in 0usize..700) {
+        let bytes = stream(count);
+        let bytes = &bytes[..end.min(bytes.len())];
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(bytes.len())).collect();
+        cuts.extend([0, bytes.len()]);
+        cuts.sort_unstable();
+        let mut splitter = EventSplitter::default();
+        let mut whole = Vec::new();
+        for piece in cuts.windows(2) {
+            whole.extend(splitter.push(&bytes[piece[0]..piece[1]]).unwrap());
+        }
+        let events = whole.windows(2).filter(|w| w == b"\n\n").count() as u64;
+        prop_assert_eq!(&whole, &stream(events));
+        prop_assert_eq!(splitter.last_id(), (events > 0).then_some(events));
+        prop_assert_eq!(splitter.has_partial(), whole.len() < bytes.len());
+    }
+}
+
+#[test]
+fn carriage_returns() {
+    let mut splitter = EventSplitter::new(Some(3));
+    assert_eq!(splitter.push(b"id: 4\r\ndata: x\r\n\r").unwrap(), b"");
+    assert_eq!(splitter.last_id(), Some(3));
+    assert_eq!(splitter.push(b"\nid: 5").unwrap(), b"id: 4\r\ndata: x\r\n\r\n");
+    assert_eq!(splitter.last_id(), Some(4));
+    splitter.drop_partial();
+    assert!(!splitter.has_partial());
+}
+
+#[test]
+fn endless_event() {
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES]).is_some());
+    assert!(splitter.push(b"x").is_none());
+}
--- /dev/null
+++ b/core/tests/fleet.rs
@@ -0,0 +1,101 @@
+//! Which backends may get requests, as the platform's list changes.
+
+use currantlink_core::fleet::{Announcement, Fleet, Observation, RETURN_MS};
+
+fn said(born_ms: u64, port: u16) -> Announcement {
+    Announcement {
+        born_ms,
+        service: "llm".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        failure_domain: "a".into(),
+        draining: false,
+        slots: 4,
+    }
+}
+
+fn present(born_ms: u64, port: u16) -> Observation {
+    Observation::Present(said(born_ms, port))
+}
+
+fn open(fleet: &Fleet) -> Vec<String> {
+    fleet.open("llm").map(|(_, member)| member.id.clone()).collect()
+}
+
+#[test]
+fn heartbeat_changes_nothing() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.observe("a", present(1, 1), 0));
+    assert!(!fleet.observe("a", present(1, 1), 10));
+}
+
+#[test]
+fn draining_stays() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    let draining = Announcement { draining: true, ..said(1, 1) };
+    assert!(fleet.observe("a", Observation::Present(draining), 1));
+    fleet.observe("a", present(1, 1), 2);
+    assert!(open(&fleet).is_empty());
+}
+
+#[test]
+fn new_life() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    let before = fleet.by_id("a").unwrap();
+    assert!(fleet.observe("a", present(2, 1), 1));
+    assert_ne!(fleet.by_id("a"), Some(before));
+}
+
+#[test]
+fn address_taken_over() {
+    // After a loss of power the entries of crashed backends stay beside their successors'.
+    let mut fleet = Fleet::default();
+    let listing = vec![("old".into(), present(1, 1)), ("new".into(), present(9, 1))];
+    fleet.replace(listing, 0);
+    assert_eq!(open(&fleet), ["new"]);
+}
+
+#[test]
+fn unusable_entry() {
+    let mut fleet = Fleet::default();
+    let listing = vec![
+        ("a".into(), present(1, 1)),
+        ("b".into(), Observation::Unusable),
+        ("c".into(), present(1, 3)),
+    ];
+    fleet.replace(listing, 0);
+    assert_eq!(open(&fleet), ["a", "c"]);
+}
+
+#[test]
+fn dropped_entry() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    assert!(fleet.observe("a", Observation::Dropped, 1));
+    assert!(open(&fleet).is_empty());
+}
+
+#[test]
+fn lapse_in_outage() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    fleet.observe("b", present(1, 2), 0);
+    fleet.store_returned(100);
+    fleet.observe("a", Observation::Dropped, 110);
+    fleet.observe("b", Observation::Dropped, 110);
+    assert_eq!(open(&fleet), ["a", "b"], "they may come back");
+    fleet.observe("a", present(1, 1), 200);
+    assert!(!fleet.settle(100 + RETURN_MS - 1));
+    assert!(fleet.settle(100 + RETURN_MS));
+    assert_eq!(open(&fleet), ["a"]);
+}
+
+#[test]
+fn leaving_by_hearsay() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(5, 1), 0);
+    assert!(!fleet.heard_leaving("a", 4), "another life of the id");
+    assert!(fleet.heard_leaving("a", 5));
+    assert!(open(&fleet).is_empty());
+}
--- /dev/null
+++ b/core/tests/rebalance.rs
@@ -0,0 +1,93 @@
+//! Planned maps are valid, bring few experts, and even out skewed demand.
+
+use currantlink_core::demand::Demand;
+use currantlink_core::rebalance::{plan, skew};
+use currantlink_core::routes::ExpertFigures;
+use currantlink_core::switch::ExpertMap;
+use proptest::prelude::*;
+
+const RANKS: usize = 6;
+const FIGURES: ExpertFigures = ExpertFigures {
+    sets: 2,
+    experts: 24,
+    slots_per_rank: 6,
+    new_per_set: 2,
+    copy_ms: 400.0,
+    expert_share: 0.85,
+    form_ms: 600.0,
+};
+
+fn in_turn() -> ExpertMap {
+    let rank = |rank| (0..24).filter(|e| e % RANKS as u32 == rank).collect();
+    let set: Vec<Vec<u32>> = (0..RANKS as u32).map(rank).collect();
+    vec![set.clone(), set]
+}
+
+fn new_experts(old: &ExpertMap, new: &ExpertMap, rank: usize) -> Vec<usize> {
+    let count = |(old, new): (&Vec<Vec<u32>>, &Vec<Vec<u32>>)| {
+        new[rank].iter().filter(|e| !old[rank].contains(e)).count()
+    };
+    old.iter().zip(new).map(count).collect()
+}
+
+fn check(old: &ExpertMap, new: &ExpertMap, copies: usize) {
+    for set in new {
+        for rank in set {
+            let mut sorted = rank.clone();
+            sorted.sort_unstable();
+            sorted.dedup();
+            assert_eq!(sorted.len(), rank.len(), "an expert twice on a rank");
+            assert!(rank.len() <= FIGURES.slots_per_rank);
+        }
+        let held = |e: u32| set.iter().flatten().any(|&other| other == e);
+        assert!((0..24).all(held), "an expert on no rank");
+    }
+    for rank in 0..RANKS {
+        let new_here = new_experts(old, new, rank);
+        assert!(new_here.iter().all(|&n| n <= FIGURES.new_per_set), "{new_here:?}");
+        assert!(new_here.iter().sum::<usize>() <= copies);
+    }
+}
+
+proptest! {
+    #[test]
+    fn valid_chain(seeds in prop::collection::vec(prop::collection::vec(0.1f64..50.0, 48), 1..6)) {
+        let mut map = in_turn();
+        for rates in seeds {
+            let rates = vec![rates[..24].to_vec(), rates[24..].to_vec()];
+            if let Some(next) = plan(&map, &rates, &FIGURES) {
+                check(&map, &next.map, next.copies);
+                prop_assert!(next.skew_after < next.skew_before);
+                prop_assert!((skew(&next.map, &rates, &FIGURES) - next.skew_after).abs() < 1e-9);
+                map = next.map;
+            }
+        }
+    }
+}
+
+#[test]
+fn hot_expert_spread() {
+    let mut rates = vec![vec![1.0; 24]; 2];
+    rates[0][3] = 12.0;
+    let next = plan(&in_turn(), &rates, &FIGURES).unwrap();
+    assert!(next.skew_before > 1.5 && next.skew_after < 1.25, "{next:?}");
+}
+
+#[test]
+fn even_demand() {
+    assert_eq!(plan(&in_turn(), &vec![vec![1.0; 24]; 2], &FIGURES), None);
+}
+
+#[test]
+fn demand_follows() {
+    let mut demand = Demand::new(1, 1, 2);
+    demand.count(0, 0, &[0, 0]);
+    demand.count(100, 0, &[10_000, 0]);
+    assert!(demand.rates().unwrap()[0][0] > 9_999.0);
+    demand.count(3_000, 0, &[10_000, 10_000]);
+    let rates = demand.rates().unwrap();
+    assert!(rates[0][1] > 20.0 * rates[0][0], "{rates:?}");
+    demand.count(3_100, 0, &[5, 5]);
+    let after = demand.rates().unwrap();
+    assert!(after[0][1] <= rates[0][1], "a restarted rank counts anew");
+}
--- /dev/null
+++ b/core/tests/route_table.rs
@@ -0,0 +1,70 @@
+//! Requests find the longest route of their host, and the workspace of their key.
+
+use currantlink_core::routes::{
+    CallerLimits, Denied, Holder, Pool, PoolKey, Repeat, Route, RouteTable,
+};
+
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        priority: 2,
+        attempts: 2,
+        public,
+        split: vec![(PoolKey(0), 90), (PoolKey(1), 10)],
+    }
+}
+
+fn table() -> RouteTable {
+    let routes = vec![route("short", "/a/", false), route("long", "/a/b/", true)];
+    let pool = |name: &str| Pool { name: name.into(), max_connections: 10, engine: None };
+    let holder = Holder { name: "one".into(), priority: Some(0), keys: vec!["k1".into()] };
+    let limits = CallerLimits::default();
+    RouteTable::new(7, routes, vec![pool("x"), pool("y")], limits, Some(vec![holder]))
+}
+
+fn name(path: &str, key: Option<&str>) -> Result<String, Denied> {
+    let table = table();
+    let admitted = table.admit("A.example:80", path, key)?;
+    Ok(table.route(admitted.route).name.clone())
+}
+
+#[test]
+fn longest_prefix() {
+    assert_eq!(name("/a/b/c", Some("k1")).unwrap(), "long");
+    assert_eq!(name("/a/bc", Some("k1")).unwrap(), "short");
+    assert_eq!(name("/b", Some("k1")), Err(Denied::NoRoute));
+}
+
+#[test]
+fn other_host() {
+    assert_eq!(table().admit("b.example", "/a/", Some("k1")), Err(Denied::NoRoute));
+}
+
+#[test]
+fn unknown_key() {
+    assert_eq!(name("/a/x", Some("k2")), Err(Denied::UnknownKey));
+    assert_eq!(name("/a/x", None), Err(Denied::UnknownKey));
+    assert_eq!(name("/a/b/x", None).unwrap(), "long");
+}
+
+#[test]
+fn workspace_rank() {
+    let table = table();
+    let held = table.admit("a.example", "/a/b/", Some("k1")).unwrap();
+    assert_eq!((held.workspace.as_deref(), held.priority), (Some("one"), 0));
+    let open = table.admit("a.example", "/a/b/", None).unwrap();
+    assert_eq!((open.workspace, open.priority), (None, 2));
+}
+
+#[test]
+fn weighted_split() {
+    let table = table();
+    let picked = |draw| table.pick(table.admit("a.example", "/a/b/", None).unwrap().route, draw);
+    let second = (0..1_000).filter(|&draw| picked(draw) == Some(PoolKey(1))).count();
+    assert_eq!(second, 100);
+}
--- /dev/null
+++ b/core/tests/spread.rs
@@ -0,0 +1,62 @@
+//! Requests go to the least loaded backend, and nowhere while all are full or their group is away.
+
+use currantlink_core::fleet::FleetKey;
+use currantlink_core::spread::{Candidate, Choice, LoadReport, choose};
+
+fn candidate(key: u32, own: u32) -> Candidate {
+    let (report, suspended, local) = (None, false, true);
+    Candidate { key: FleetKey(key), slots: 4, own, own_since_report: 0, report, suspended, local }
+}
+
+fn reported(key: u32, active: u32, queued: u32, own_since_report: u32) -> Candidate {
+    let report = Some(LoadReport { active, queued, at_ms: 0, serves: true });
+    Candidate { report, own_since_report, ..candidate(key, 0) }
+}
+
+#[test]
+fn least_loaded() {
+    let all = [reported(1, 3, 0, 0), reported(2, 1, 0, 0), reported(3, 1, 0, 1)];
+    for draw in 0..50 {
+        assert_eq!(choose(&all, 1, draw), Choice::Send(FleetKey(2)));
+    }
+}
+
+#[test]
+fn all_full() {
+    let all = [reported(1, 4, 2, 0), reported(2, 4, 1, 0)];
+    assert_eq!(choose(&all, 1, 0), Choice::Full { excess: 1 });
+    assert_eq!(choose(&all, 2, 0), Choice::Send(FleetKey(2)));
+}
+
+#[test]
+fn group_away() {
+    let mut away = reported(1, 0, 0, 0);
+    away.report = away.report.map(|r| LoadReport { serves: false, ..r });
+    assert_eq!(choose(&[away], 1, 0), Choice::Forming);
+    assert_eq!(choose(&[away, candidate(2, 3)], 1, 0), Choice::Send(FleetKey(2)));
+}
+
+#[test]
+fn suspended_last() {
+    let bad = Candidate { suspended: true, ..candidate(1, 0) };
+    assert_eq!(choose(&[bad, candidate(2, 3)], 1, 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose(&[bad], 1, 0), Choice::Send(FleetKey(1)), "better than nobody");
+}
+
+#[test]
+fn ties_spread() {
+    let all: Vec<Candidate> = (0..4).map(|key| candidate(key, 0)).collect();
+    let mut hits = [0; 4];
+    for draw in 0..4_000u64 {
+        let mixed = draw.wrapping_mul(0x2545_F491_4F6C_DD1D);
+        if let Choice::Send(FleetKey(key)) = choose(&all, 1, mixed) {
+            hits[key as usize] += 1;
+        }
+    }
+    assert!(hits.iter().all(|&hits| hits > 500), "{hits:?}");
+}
+
+#[test]
+fn nobody() {
+    assert_eq!(choose(&[], 1, 0), Choice::Nobody);
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -2,6 +2,7 @@
 //! agent of a group leads its map changes.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,11 +20,12 @@
 
 use crate::clock::now_ms;
 use crate::conductor::{Conductor, Leader, Report, Way};
-use crate::deployed::AgentSettings;
+use crate::deployed::{self, AgentSettings};
 use crate::error::DaemonError;
 use crate::orders;
 use crate::peers::Peers;
 use crate::rank::RankClient;
+use crate::reload::Reload;
 use crate::stop::StopSignals;
 use crate::watcher::{self, Update};
 
@@ -36,7 +38,7 @@
 /// Time between two signs of life of a leader.
 const LEAD_EVERY_MS: u64 = 100;
 /// Silence of a leader after which the agent of rank 0 takes over.
-const LEADER_LIFE_MS: u64 = 500;
+const LEADER_LIFE_MS: u64 = 400;
 /// Further silence for each rank, so that not all take over at once.
 const TURN_MS: u64 = 120;
 /// Time between two claims of the same agent.
@@ -46,11 +48,17 @@
 /// Time between two messages of an unchanged load.
 const LOAD_EVERY_MS: u64 = 240;
 
+/// Times that an order is sent while it is not answered.
+const MAX_SENDS: u32 = 6;
+/// Time without a new pass after which a backend with requests is taken as stalled: a pass takes
+/// some tens of milliseconds.
+const STALLED_MS: u64 = 400;
+
 enum Event {
     /// The backend's state, counts and experts.
     Polled { state: EngineState, counts: Vec<u64>, experts: Vec<Vec<u32>> },
     /// A rank whose agent is silent.
-    Remote(RankState),
+    Remote(SocketAddr, RankState),
     /// The store gave this process a fencing number.
     Claimed { fence: u64, group: String },
 }
@@ -60,13 +68,14 @@
 /// # Errors
 ///
 /// Fails where the runtime or the link to other processes cannot be started.
-pub fn run(settings: AgentSettings) -> Result<(), DaemonError> {
+pub fn run(settings: AgentSettings, path: PathBuf) -> Result<(), DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, path))
 }
 
-async fn serve(settings: AgentSettings) -> Result<(), DaemonError> {
+async fn serve(settings: AgentSettings, path: PathBuf) -> Result<(), DaemonError> {
     let mut signals = StopSignals::listen()?;
+    let mut reload = Reload::watch(path)?;
     let common = &settings.common;
     let own = Peer {
         name: common.name().to_owned(),
@@ -92,6 +101,11 @@
     loop {
         tokio::select! {
             () = signals.next() => break,
+            path = reload.changed() => match deployed::load_agent(&path) {
+                // Nothing that an agent uses changes while it runs, but a mistake is told early.
+                Ok(_) => log::info!("settings read again"),
+                Err(error) => log::error!(error:% = error; "settings are not usable"),
+            },
             Some(update) = queue.recv() => agent.update(update),
             Some(event) = happened.recv() => agent.happened(event).await,
             received = agent.peers.receive() => match received {
@@ -179,6 +193,8 @@
     lead_sent_ms: u64,
     load_sent: Option<(u64, Load)>,
     givers: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
+    /// Last pass and when it was first seen.
+    progress: (u64, u64),
 }
 
 impl Agent {
@@ -204,6 +220,7 @@
             lead_sent_ms: 0,
             load_sent: None,
             givers: IndexMap::new(),
+            progress: (0, 0),
         }
     }
 
@@ -226,9 +243,9 @@
     async fn happened(&mut self, event: Event) {
         match event {
             Event::Polled { state, counts, experts } => self.polled(state, counts, experts).await,
-            Event::Remote(state) => {
+            Event::Remote(backend, state) => {
                 if let Some(conductor) = &mut self.conductor {
-                    conductor.observed(now_ms(), state);
+                    conductor.observed(now_ms(), backend, state);
                 }
                 self.conduct().await;
             }
@@ -256,12 +273,17 @@
 
     async fn tell_load(&mut self, state: &EngineState) {
         let now = now_ms();
+        let step = state.rank.as_ref().map_or(0, |rank| rank.step);
+        if step != self.progress.0 || state.active == 0 {
+            self.progress = (step, now);
+        }
+        let is_stalled = state.rank.is_some() && now > self.progress.1 + STALLED_MS;
         let load = Load {
             backend_address: self.settings.backend.to_string(),
             active: state.active,
             queued: state.queued,
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
-            step: 0,
+            is_stalled,
         };
         let told = self.load_sent.as_ref();
         if told.is_some_and(|(at, told)| *told == load && now < at + LOAD_EVERY_MS) {
@@ -371,7 +393,12 @@
             return;
         };
         if let Some(conductor) = &mut self.conductor {
-            let silent = conductor.silent(now);
+            let mut silent = conductor.silent(now);
+            if conductor.has_unknown(now) {
+                let backends = self.peers.known(Role::Agent).map(|peer| &peer.backend_address);
+                let backends = backends.filter_map(|backend| backend.parse().ok());
+                silent.extend(backends.filter(|&backend| !conductor.knows(backend)));
+            }
             let fence = conductor.fence();
             for backend in silent {
                 self.read_remote(backend, rank.group.clone());
@@ -403,7 +430,7 @@
             match RankClient::new(backend).report().await {
                 Ok(EngineState { rank: Some(rank), .. }) if rank.group == group => {
                     // The receiver is gone only when the process ends.
-                    let _ = events.send(Event::Remote(rank));
+                    let _ = events.send(Event::Remote(backend, rank));
                 }
                 Ok(_) => {}
                 Err(error) => log::info!(backend:% = backend, error:% = error; "rank not read"),
@@ -437,7 +464,7 @@
         }
         log::info!(fence, group; "leads the group");
         let (size, own) = (rank.size as usize, rank.rank as usize);
-        self.conductor = Some(Conductor::new(fence, size, own, figures));
+        self.conductor = Some(Conductor::new(now_ms(), fence, size, own, figures));
         self.leader = None;
         self.lead_sent_ms = 0;
     }
@@ -449,18 +476,25 @@
     }
 }
 
-/// Gives orders to one backend, one after the other.
+/// Gives orders to one backend, one after the other. One that is not answered is sent again until a
+/// newer one is to be given.
 async fn give(backend: SocketAddr, mut orders: mpsc::UnboundedReceiver<Order>, wake: Arc<Notify>) {
     let mut client = RankClient::new(backend);
     while let Some(order) = orders.recv().await {
         let (action, fence) = (name(&order.action), order.fence);
-        match client.order(&order).await {
-            Ok(outcome) => {
-                log::info!(action, fence, backend:% = backend, outcome:% = outcome; "order given");
-            }
-            Err(error) => {
-                log::info!(action, fence, backend:% = backend, error:% = error;
-                    "order not answered");
+        for sends in 1..=MAX_SENDS {
+            match client.order(&order).await {
+                Ok(outcome) => {
+                    log::info!(action, fence, backend:% = backend, sends, outcome:% = outcome;
+                        "order given");
+                    break;
+                }
+                Err(error) if sends == MAX_SENDS || !orders.is_empty() => {
+                    log::info!(action, fence, backend:% = backend, sends, error:% = error;
+                        "order not answered");
+                    break;
+                }
+                Err(error) => log::debug!(action, error:% = error; "order is sent again"),
             }
         }
         wake.notify_one();
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use currantlink_core::demand::Demand;
-use currantlink_core::rebalance::{self, MapPlan};
+use currantlink_core::rebalance;
 use currantlink_core::routes::ExpertFigures;
 use currantlink_core::switch::{ExpertMap, Observed, Order, Phase, RankState, Switch};
 
@@ -56,12 +56,13 @@
     ranks: Vec<Rank>,
     demand: Demand,
     rest_until_ms: u64,
-    plan: Option<MapPlan>,
+    started_ms: u64,
+    looked_ms: u64,
 }
 
 impl Conductor {
     /// Leads a group of `size` ranks from rank `own`.
-    pub fn new(fence: u64, size: usize, own: usize, figures: ExpertFigures) -> Self {
+    pub fn new(now_ms: u64, fence: u64, size: usize, own: usize, figures: ExpertFigures) -> Self {
         Self {
             switch: Switch::new(fence, size, own),
             figures,
@@ -69,7 +70,8 @@
             ranks: vec![Rank::default(); size],
             demand: Demand::new(size, figures.sets, figures.experts),
             rest_until_ms: 0,
-            plan: None,
+            started_ms: now_ms,
+            looked_ms: 0,
         }
     }
 
@@ -101,13 +103,29 @@
     }
 
     /// Takes the state of a rank that was read from here.
-    pub fn observed(&mut self, now_ms: u64, state: RankState) {
+    pub fn observed(&mut self, now_ms: u64, backend: SocketAddr, state: RankState) {
         let index = state.rank as usize;
         if let Some(slot) = self.states.get_mut(index) {
             *slot = Some(Observed { state, at_ms: now_ms });
+            self.ranks[index].backend = Some(backend);
         }
     }
 
+    /// Returns whether the backend of some rank is still not known, and is to be looked for now.
+    pub fn has_unknown(&mut self, now_ms: u64) -> bool {
+        let due = now_ms > self.started_ms + SILENT_MS && now_ms > self.looked_ms + REMOTE_EVERY_MS;
+        let found = due && self.ranks.iter().any(|rank| rank.backend.is_none());
+        if found {
+            self.looked_ms = now_ms;
+        }
+        found
+    }
+
+    /// Returns whether a backend is a rank of the group.
+    pub fn knows(&self, backend: SocketAddr) -> bool {
+        self.ranks.iter().any(|rank| rank.backend == Some(backend))
+    }
+
     /// Returns the backends of ranks whose agents are silent and that are to be read now.
     pub fn silent(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let due = |rank: &&mut Rank| {
@@ -151,7 +169,6 @@
         let version = self.switch.start(now_ms, Arc::new(plan.map.clone()));
         log::info!(version, copies, skew_before:% = format!("{before:.2}"),
             skew_after:% = format!("{after:.2}"), fence = self.fence(); "map change started");
-        self.plan = Some(plan);
     }
 
     /// The map in use, where every rank told its part of the same version.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,10 +19,11 @@
 
 use crate::belief::{Belief, Loads, SharedBelief};
 use crate::clock::now_ms;
-use crate::deployed::GatewaySettings;
+use crate::deployed::{self, GatewaySettings};
 use crate::error::DaemonError;
 use crate::ingress;
 use crate::peers::Peers;
+use crate::reload::Reload;
 use crate::serve::Gateway;
 use crate::stop::StopSignals;
 use crate::telemetry;
@@ -47,7 +49,7 @@
 /// # Errors
 ///
 /// Fails where an address is in use or a thread cannot be started.
-pub fn run(settings: GatewaySettings) -> Result<(), DaemonError> {
+pub fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), DaemonError> {
     let metrics = telemetry::install_metrics()?;
     let belief: SharedBelief = Arc::default();
     let loads = Arc::<Loads>::default();
@@ -56,15 +58,17 @@
     control_thread(move || control(own_settings, own_belief, own_loads))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let gateway = Rc::new(Gateway::new(settings, belief, loads));
-    LocalSet::new().block_on(&runtime, traffic(gateway, metrics))
+    LocalSet::new().block_on(&runtime, traffic(gateway, metrics, path))
 }
 
 async fn traffic(
     gateway: Rc<Gateway>,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
+    path: PathBuf,
 ) -> Result<(), DaemonError> {
     let mut signals = StopSignals::listen()?;
-    let settings = &gateway.settings;
+    tokio::task::spawn_local(reload(Rc::clone(&gateway), Reload::watch(path)?));
+    let settings = gateway.settings();
     log::info!(name = settings.common.name(), callers:% = settings.callers; "gateway started");
     let readiness = ingress::listen(settings.readiness)?;
     let page = ingress::readiness_page(Rc::clone(&gateway));
@@ -84,7 +88,7 @@
     log::info!(open = open.get(); "stopping");
     gateway.stop();
     let asked = Instant::now();
-    let last = asked + gateway.settings.common.grace().saturating_sub(LAST);
+    let last = asked + gateway.settings().common.grace().saturating_sub(LAST);
     tokio::time::sleep_until((asked + CLOSE_AFTER).min(last)).await;
     if close.send(true).is_err() {
         log::debug!("no connection is open");
@@ -96,6 +100,20 @@
     Ok(())
 }
 
+/// Takes over changed settings; addresses stay until the process starts again.
+async fn reload(gateway: Rc<Gateway>, mut reload: Reload) {
+    loop {
+        let path = reload.changed().await;
+        match deployed::load_gateway(&path) {
+            Ok(settings) => {
+                log::info!("settings read again");
+                gateway.set_settings(settings);
+            }
+            Err(error) => log::error!(error:% = error; "settings are not usable"),
+        }
+    }
+}
+
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
@@ -231,8 +249,9 @@
         let Ok(address) = load.backend_address.parse::<SocketAddr>() else {
             return;
         };
-        let Load { active, queued, is_open, .. } = *load;
-        self.loads.report(address, LoadReport { active, queued, is_open, at_ms: now_ms() });
+        let Load { active, queued, is_open, is_stalled, .. } = *load;
+        let serves = is_open && !is_stalled;
+        self.loads.report(address, LoadReport { active, queued, serves, at_ms: now_ms() });
     }
 
     async fn tick(&mut self) {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod recording;
 pub mod rejection;
 pub mod relayed;
+pub mod reload;
 pub mod reply;
 pub mod routing;
 pub mod serve;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -40,7 +40,7 @@
             match options.action() {
                 args::Action::Check => Ok(()),
                 args::Action::Print => settings::print(checked.common.raw()),
-                args::Action::Serve => gateway::run(checked),
+                args::Action::Serve => gateway::run(checked, options.settings),
             }
         }
         args::Args::Agent(options) => {
@@ -48,7 +48,7 @@
             match options.action() {
                 args::Action::Check => Ok(()),
                 args::Action::Print => settings::print(checked.common.raw()),
-                args::Action::Serve => agent::run(checked),
+                args::Action::Serve => agent::run(checked, options.settings),
             }
         }
     }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -115,6 +115,11 @@
         self.known.values().filter(alive).map(|k| (&k.peer, k.address))
     }
 
+    /// Returns the peers of a role, heard of late or not.
+    pub fn known(&self, role: Role) -> impl Iterator<Item = &Peer> {
+        self.known.values().map(|known| &known.peer).filter(move |peer| peer.role() == role)
+    }
+
     /// Returns how many processes of a role there are, this one included where it has the role;
     /// nothing before the store told. Until they have had time to greet, all that ever registered
     /// count.
--- a/daemon/src/rank.rs
+++ b/daemon/src/rank.rs
@@ -15,9 +15,10 @@
 
 use crate::upstream::{Upstream, UpstreamError};
 
-/// Time for a call. A backend answers within a few milliseconds; an order that it leaves unanswered
-/// is looked for in its report.
+/// Time for a read. A backend answers within a few milliseconds.
 const CALL_LIMIT: Duration = Duration::from_millis(150);
+/// Time for an order. One that is left unanswered is sent again, and takes effect once at most.
+const ORDER_LIMIT: Duration = Duration::from_millis(40);
 
 /// Why a call failed.
 #[derive(Debug, Display, Error, From)]
@@ -26,7 +27,7 @@
     #[display("{_0}")]
     Connection(UpstreamError),
     /// No answer came in time.
-    #[display("no answer within {} ms", CALL_LIMIT.as_millis())]
+    #[display("no answer in time")]
     Timeout,
     /// The answer has an unexpected status.
     #[display("status {_0}")]
@@ -92,12 +93,12 @@
     /// Fails where no answer says what became of it; it may still be carried out then.
     pub async fn order(&mut self, order: &Order) -> Result<OrderOutcome, RankError> {
         let body = engine::encode_order(order)?;
-        let (status, _) = self.call("POST", names::ORDER_PATH, &body).await?;
+        let (status, _) = self.call("POST", names::ORDER_PATH, &body, ORDER_LIMIT).await?;
         Ok(OrderOutcome::try_from(status)?)
     }
 
     async fn get(&mut self, path: &str) -> Result<Bytes, RankError> {
-        match self.call("GET", path, &[]).await? {
+        match self.call("GET", path, &[], CALL_LIMIT).await? {
             (StatusCode::OK, text) => Ok(text),
             (status, _) => Err(RankError::Status(status.as_u16())),
         }
@@ -108,6 +109,7 @@
         method: &str,
         path: &str,
         body: &[u8],
+        limit: Duration,
     ) -> Result<(StatusCode, Bytes), RankError> {
         let address = self.address;
         let mut upstream = match self.upstream.take().filter(Upstream::is_reusable) {
@@ -128,7 +130,7 @@
             }
             Ok::<_, UpstreamError>((answer.status, text.freeze()))
         };
-        let done = tokio::time::timeout(CALL_LIMIT, exchange).await;
+        let done = tokio::time::timeout(limit, exchange).await;
         let done = done.map_err(|_| RankError::Timeout)??;
         self.upstream = Some(upstream);
         Ok(done)
--- /dev/null
+++ b/daemon/src/reload.rs
@@ -0,0 +1,49 @@
+//! Notices changed settings: on SIGHUP, and by looking at the file.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::Interval;
+
+/// Time between two looks at the file, which may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Watches a settings file.
+pub struct Reload {
+    path: PathBuf,
+    text: Vec<u8>,
+    hangup: Signal,
+    look: Interval,
+}
+
+impl Reload {
+    /// Starts from the file's present content.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the signal handler cannot be installed.
+    pub fn watch(path: PathBuf) -> std::io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        let text = std::fs::read(&path)?;
+        Ok(Self { path, text, hangup, look: tokio::time::interval(LOOK_EVERY) })
+    }
+
+    /// Waits for the file's content to change; returns its path.
+    pub async fn changed(&mut self) -> PathBuf {
+        loop {
+            tokio::select! {
+                _ = self.hangup.recv() => {}
+                _ = self.look.tick() => {}
+            }
+            match std::fs::read(&self.path) {
+                Ok(text) if text != self.text => {
+                    self.text = text;
+                    return self.path.clone();
+                }
+                Ok(_) => {}
+                Err(error) => log::warn!(error:% = error; "settings are not readable"),
+            }
+        }
+    }
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -47,16 +47,20 @@
 const LEAST_QUEUE: u32 = 1;
 /// Shortest and longest time after which a refused request comes back.
 const RETRY_AFTER_MS: (u64, u64) = (300, 1_500);
+/// The same while a group is being formed again, which takes seconds.
+const FORMING_RETRY_MS: (u64, u64) = (1_500, 2_500);
 /// Urgency that is added to a request that came back and is late already.
 const RETURNED_URGENCY: u32 = 4;
 const MAX_URGENCY: u32 = 9;
+/// Queue that a request which came back may join, against that of a new one: it is late already, and
+/// refused once more it is lost.
+const RETURNED_QUEUE: u32 = 2;
 /// A deadline this much shorter than the longest of the route shows that a request came back.
 const RETURNED_MS: u64 = 50;
 
 /// State of a gateway's traffic thread.
 pub struct Gateway {
-    /// Settings.
-    pub settings: GatewaySettings,
+    settings: RefCell<Rc<GatewaySettings>>,
     belief: SharedBelief,
     loads: Arc<Loads>,
     pool: Pool,
@@ -96,6 +100,8 @@
     body: Option<Bytes>,
     workspace: Option<WorkspaceName>,
     urgency: u8,
+    /// It came back after it had been refused or lost, and is late already.
+    returned: bool,
 }
 
 impl Call {
@@ -132,7 +138,7 @@
     /// Starts with nothing learned.
     pub fn new(settings: GatewaySettings, belief: SharedBelief, loads: Arc<Loads>) -> Self {
         Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             belief,
             loads,
             pool: Pool::default(),
@@ -141,6 +147,16 @@
         }
     }
 
+    /// Returns the settings.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes over changed settings.
+    pub fn set_settings(&self, settings: GatewaySettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Returns whether the process is about to end.
     pub fn is_stopping(&self) -> bool {
         self.stopping.get()
@@ -245,7 +261,7 @@
         let limit_ms = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let until = arrived + Duration::from_millis(limit_ms);
         let body = self.read_body(body, table.limits().body_bytes, until).await?;
-        let urgency = self.urgency(route, admitted.priority, &ask);
+        let returned = self.has_returned(route, &ask);
         let pool = table.pool(service).name.clone();
         self.share(pool, |share| share.request(now_ms()));
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
@@ -261,7 +277,8 @@
             headers: parts.headers,
             body,
             workspace: admitted.workspace.as_deref().map(WorkspaceName::from),
-            urgency,
+            urgency: urgency(admitted.priority, returned),
+            returned,
             table,
         })
     }
@@ -288,16 +305,14 @@
         }
     }
 
-    /// Order of admission at a backend: by the caller's rank, and after the others where the request
-    /// came back and is late already.
-    fn urgency(&self, route: &Route, priority: u32, ask: &Ask) -> u8 {
+    /// Returns whether a request came back: it has less time than those of its route that come for
+    /// the first time.
+    fn has_returned(&self, route: &Route, ask: &Ask) -> bool {
         let mut learned = self.learned.borrow_mut();
         let deadline_ms = ask.deadline_ms.unwrap_or(route.timeout_ms);
         let longest_ms = learned.longest_deadlines_ms.entry(route.name.clone()).or_default();
         *longest_ms = (*longest_ms).max(deadline_ms);
-        let returned = deadline_ms + RETURNED_MS < *longest_ms;
-        let behind = if returned { RETURNED_URGENCY } else { 0 };
-        (priority + behind).min(MAX_URGENCY) as u8
+        deadline_ms + RETURNED_MS < *longest_ms
     }
 
     /// Has a request run whose answer is not a stream.
@@ -535,7 +550,8 @@
         let pool = call.pool();
         let cap = pool.max_connections / belief.gateways.max(1) as u32;
         let learned = self.learned.borrow();
-        let domain = self.settings.common.failure_domain();
+        let settings = self.settings();
+        let domain = settings.common.failure_domain();
         let candidates = belief.fleet.open(&pool.name).filter(|(key, _)| !tried.contains(key));
         let candidates = candidates.filter(|(key, _)| !learned.misplaced.contains(key));
         let candidates = candidates.map(|(key, member)| {
@@ -562,6 +578,7 @@
         let release_ms = (duration_ms / f64::from(slots)).max(1.0);
         let wait_ms = (call.route().target_ms as f64 - KEPT_BACK_MS).max(0.0);
         let queue_limit = ((wait_ms / release_ms) as u32).max(LEAST_QUEUE);
+        let queue_limit = if call.returned { queue_limit * RETURNED_QUEUE } else { queue_limit };
         match spread::choose(&candidates, queue_limit, rand::random()) {
             Choice::Send(key) => Ok(key),
             Choice::Full { .. } => Err(self.not_run(call, NotRunReason::Full)),
@@ -572,9 +589,12 @@
     }
 
     fn not_run(&self, call: &Call, reason: NotRunReason) -> Rejection {
-        let (least_ms, most_ms) = RETRY_AFTER_MS;
+        let (least_ms, most_ms) = match reason {
+            NotRunReason::Forming => FORMING_RETRY_MS,
+            _ => RETRY_AFTER_MS,
+        };
         let spread_ms = rand::random_range(least_ms..=most_ms);
-        let limit_ms = call.left().as_millis() as u64 / 4;
+        let limit_ms = call.left().as_millis() as u64 * 3 / 10;
         Rejection::NotRun { reason, retry_after: Duration::from_millis(spread_ms.min(limit_ms)) }
     }
 
@@ -601,9 +621,11 @@
     }
 
     fn share<R>(&self, pool: String, use_it: impl FnOnce(&mut RetryShare) -> R) -> R {
-        let figures = self.settings.common.retry_budget();
+        let figures = self.settings().common.retry_budget();
         let mut learned = self.learned.borrow_mut();
-        use_it(learned.shares.entry(pool).or_insert_with(|| RetryShare::new(figures)))
+        let share = learned.shares.entry(pool).or_insert_with(|| RetryShare::new(figures));
+        share.set_figures(figures);
+        use_it(share)
     }
 
     /// Notes that a backend served a request.
@@ -639,6 +661,13 @@
     Ended(Outcome),
 }
 
+/// Order of admission at a backend: by the caller's rank, and after the others where the request came
+/// back.
+fn urgency(priority: u32, returned: bool) -> u8 {
+    let behind = if returned { RETURNED_URGENCY } else { 0 };
+    (priority + behind).min(MAX_URGENCY) as u8
+}
+
 fn response(head: &Head, body: Outbound) -> Response<Outbound> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
