Recover a held group by fencing its holder first, and add the deployment's stand-ins

Cause: the test two_leaders found a pass that began with different maps: a leader that took over a held group with nothing armed released it while an arming of the older leader was still on its way; with some ranks armed it kept the older leader's version, which its own preparations had replaced elsewhere. Change: Phase::Recover prepares the map in use under a new version, first at the held rank; the order which that rank takes voids the older leader's release, and only then are other ranks disarmed. Every rank has taken an order of the new leader before anything is armed or released.

--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -6,12 +6,14 @@
 //! before anything is armed and released only when all are armed, so the pass cannot begin in
 //! between. Where the arming is done before the group gets to the pass, the group never pauses.
 //!
-//! A held group is never undone but always finished: every rank has the map prepared, so arming can
-//! only succeed or the group is formed again with nothing held. Whoever leads next sees the same
-//! state and takes the same way, so two leaders cannot disagree.
-//!
 //! Each order names the number of orders that its rank had begun when it was observed. Of an order
-//! that was repeated because its answer was lost, at most one copy takes effect.
+//! that was repeated because its answer was lost, at most one copy takes effect, and an order that a
+//! rank takes makes all those void that were meant for its earlier state.
+//!
+//! A leader that finds the group held by another one recovers it: it prepares the map in use under a
+//! version of its own, first at the rank that is held, and arms that. The first order that the held
+//! rank takes keeps the other leader from releasing it, so only then are other ranks disarmed. Once
+//! every rank has prepared the new version, no order of the other leader can take effect.
 
 use std::sync::Arc;
 
@@ -131,6 +133,14 @@
         /// Version of the map.
         version: u64,
     },
+    /// A group that another leader held gets the map in use under a new version.
+    #[display("recover {step} with {version}")]
+    Recover {
+        /// New version of the map in use.
+        version: u64,
+        /// The pass that is held.
+        step: u64,
+    },
     /// The group is being held before a pass.
     #[display("hold {step} for {version}")]
     Hold {
@@ -177,6 +187,7 @@
     epoch: u64,
     phase: Phase,
     map: Option<Arc<ExpertMap>>,
+    in_use: Option<Arc<ExpertMap>>,
     since_ms: u64,
     changes: u64,
     sent: Vec<Option<Sent>>,
@@ -200,6 +211,7 @@
             epoch: 0,
             phase: Phase::Idle,
             map: None,
+            in_use: None,
             since_ms: 0,
             changes: 0,
             sent: vec![None; size],
@@ -232,14 +244,23 @@
     /// Starts a change to `map`; only where `is_ready`. Returns its version, which no other leader
     /// uses.
     pub fn start(&mut self, now_ms: u64, map: Arc<ExpertMap>) -> u64 {
-        const CHANGES_PER_LEADER: u64 = 1 << 20;
-        self.changes += 1;
-        let version = self.fence * CHANGES_PER_LEADER + self.changes;
+        let version = self.next_version();
         self.enter(now_ms, Phase::Prepare { version });
         self.map = Some(map);
         version
     }
 
+    /// Notes the map in use, without which a held group cannot be recovered.
+    pub fn know(&mut self, in_use: Arc<ExpertMap>) {
+        self.in_use = Some(in_use);
+    }
+
+    fn next_version(&mut self) -> u64 {
+        const CHANGES_PER_LEADER: u64 = 1 << 20;
+        self.changes += 1;
+        self.fence * CHANGES_PER_LEADER + self.changes
+    }
+
     /// Takes the ranks' states; returns the orders to send, by rank.
     pub fn advance(&mut self, now_ms: u64, ranks: &[Option<Observed>]) -> Vec<(usize, Order)> {
         self.follow_epoch(now_ms, ranks);
@@ -266,25 +287,36 @@
         let begun = all.iter().map(|o| o.state.step).max().unwrap_or(0);
         let held = all.iter().find_map(|o| o.state.held_step);
         let next = match self.phase {
-            Phase::Idle => held.map(|step| self.finish(step, &all)),
-            Phase::Prepare { .. } if held.is_some() => held.map(|step| self.finish(step, &all)),
+            Phase::Idle | Phase::Prepare { .. } if held.is_some() => {
+                held.and_then(|step| self.take_over(step, &all))
+            }
+            Phase::Idle => None,
             Phase::Prepare { version } if all.iter().all(|o| has_prepared(o, version)) => {
                 Some(Phase::Hold { version, step: begun + self.lead_passes })
             }
             Phase::Prepare { .. } => return self.expire(now_ms),
+            Phase::Recover { .. } if held.is_none() => {
+                self.end(now_ms, Ended::Abandoned);
+                return true;
+            }
+            Phase::Recover { version, step } if all.iter().all(|o| has_prepared(o, version)) => {
+                Some(Phase::Arm { version, step })
+            }
+            Phase::Recover { .. } => None,
             Phase::Hold { version, step } if held == Some(step) => {
                 Some(Phase::Arm { version, step })
             }
+            Phase::Hold { .. } if held.is_some() => {
+                held.and_then(|step| self.take_over(step, &all))
+            }
             Phase::Hold { version, step } if begun >= step => {
                 Some(Phase::Hold { version, step: begun + self.lead_passes })
             }
             Phase::Hold { .. } => None,
-            Phase::Arm { version, step }
-                if all.iter().all(|o| o.state.armed == Some((version, step))) =>
-            {
+            Phase::Arm { version, step } if are_armed(&all, version, step) => {
                 Some(Phase::Go { step })
             }
-            // Another leader released it.
+            // Another leader released it, which takes that all ranks are armed.
             Phase::Arm { .. } if held.is_none() => {
                 self.end(now_ms, Ended::Abandoned);
                 return true;
@@ -316,16 +348,15 @@
         self.lead_passes = next.clamp(LEAD_PASSES, MAX_LEAD_PASSES);
     }
 
-    /// What a group needs that is held before `step`, maybe by a leader that is gone.
-    fn finish(&self, step: u64, all: &[Observed]) -> Phase {
-        let armed = all.iter().find_map(|o| o.state.armed.filter(|&(_, at)| at == step));
-        let prepared = all[0].state.prepared_version;
-        let agreed = all.iter().all(|o| o.state.prepared_version == prepared);
-        match (armed, prepared) {
-            (Some((version, _)), _) => Phase::Arm { version, step },
-            (None, Some(version)) if agreed => Phase::Arm { version, step },
-            _ => Phase::Go { step },
+    /// What a group needs that another leader holds; nothing while the map in use is not known.
+    fn take_over(&mut self, step: u64, all: &[Observed]) -> Option<Phase> {
+        if let Some((version, _)) = all[0].state.armed
+            && are_armed(all, version, step)
+        {
+            return Some(Phase::Go { step });
         }
+        self.map = Some(self.in_use.clone()?);
+        Some(Phase::Recover { version: self.next_version(), step })
     }
 
     fn expire(&mut self, now_ms: u64) -> bool {
@@ -343,7 +374,7 @@
             let Some(observed) = observed.as_ref().filter(|o| o.state.epoch == self.epoch) else {
                 continue;
             };
-            let Some(action) = self.action(rank, &observed.state) else {
+            let Some(action) = self.action(rank, &observed.state, ranks) else {
                 continue;
             };
             let number = observed.state.orders;
@@ -365,7 +396,7 @@
         orders
     }
 
-    fn action(&self, rank: usize, state: &RankState) -> Option<Action> {
+    fn action(&self, rank: usize, state: &RankState, ranks: &[Option<Observed>]) -> Option<Action> {
         match self.phase {
             Phase::Idle => None,
             Phase::Prepare { version } => {
@@ -373,6 +404,19 @@
                 let wanted = state.prepared_version != Some(version) && !state.busy;
                 wanted.then_some(Action::Prepare { version, map })
             }
+            Phase::Recover { version, .. } => {
+                let is_held = state.held_step.is_some();
+                let taken = |o: &Observed| o.state.held_step.is_some() && has_prepared(o, version);
+                match state.armed {
+                    _ if !is_held && !ranks.iter().flatten().any(taken) => None,
+                    Some((armed, _)) => Some(Action::Disarm { version: armed }),
+                    None => {
+                        let map = self.map.clone()?;
+                        let wanted = state.prepared_version != Some(version) && !state.busy;
+                        wanted.then_some(Action::Prepare { version, map })
+                    }
+                }
+            }
             Phase::Hold { step, .. } => {
                 let wanted = rank == self.holder && state.held_step.is_none();
                 wanted.then_some(Action::Hold { step })
@@ -416,6 +460,10 @@
     state.held_step.is_none() && state.armed.is_none() && !state.busy
 }
 
+fn are_armed(all: &[Observed], version: u64, step: u64) -> bool {
+    all.iter().all(|o| o.state.armed == Some((version, step)))
+}
+
 fn has_prepared(observed: &Observed, version: u64) -> bool {
     observed.state.prepared_version == Some(version)
 }
--- a/core/tests/events.rs
+++ b/core/tests/events.rs
@@ -1,5 +1,7 @@
 //! Event streams are cut into whole events wherever the bytes are split.
 
+mod common;
+
 use currantlink_core::events::{EventSplitter, MAX_EVENT_BYTES};
 use proptest::prelude::*;
 
@@ -8,6 +10,8 @@
 }
 
 proptest! {
+    #![proptest_config(common::proptest_config(256))]
+
     #[test]
     fn any_split(count in 1u64..30, cuts in prop::collection::vec(0usize..600, 0..20), end in 0usize..700) {
         let bytes = stream(count);
--- a/core/tests/rebalance.rs
+++ b/core/tests/rebalance.rs
@@ -1,5 +1,7 @@
 //! Planned maps are valid, bring few experts, and even out skewed demand.
 
+mod common;
+
 use currantlink_core::demand::Demand;
 use currantlink_core::rebalance::{plan, skew};
 use currantlink_core::routes::ExpertFigures;
@@ -50,6 +52,8 @@
 }
 
 proptest! {
+    #![proptest_config(common::proptest_config(256))]
+
     #[test]
     fn valid_chain(seeds in prop::collection::vec(prop::collection::vec(0.1f64..50.0, 48), 1..6)) {
         let mut map = in_turn();
--- a/core/tests/share.rs
+++ b/core/tests/share.rs
@@ -1,11 +1,15 @@
 //! The shares of all gateways together stay within the common retry budget.
 
+mod common;
+
 use currantlink_core::share::{BudgetFigures, RetryShare};
 use proptest::prelude::*;
 
 const FIGURES: BudgetFigures = BudgetFigures { ratio: 0.2, slack: 90.0, window_ms: 10_000 };
 
 proptest! {
+    #![proptest_config(common::proptest_config(256))]
+
     #[test]
     fn common_budget(
         gateways in 1usize..8,
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -3,76 +3,20 @@
 //! The model follows the platform's rules for orders. Checked are: no pass begins while two ranks
 //! have different maps, and a group is not left held.
 
+mod common;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use currantlink_core::switch::{Action, Observed, Order, Phase, RankState, Switch};
+use currantlink_core::switch::{Observed, Order, Phase, Switch};
+use currantlink_standins::rank::Rank;
 use proptest::prelude::*;
 
 const RANKS: usize = 4;
 const PASS_MS: u64 = 60;
 const TICK_MS: u64 = 10;
-const COPY_MS: u64 = 120;
 const ORDER_LIMIT_MS: u64 = 40;
 
-#[derive(Clone, Debug, Default)]
-struct Rank {
-    state: RankState,
-    fence: u64,
-    highest: u64,
-    copied_at_ms: Option<(u64, u64)>,
-}
-
-impl Rank {
-    /// Carries an order out; returns whether it was accepted.
-    fn take(&mut self, now_ms: u64, order: &Order) -> bool {
-        let begun = self.state.step;
-        let fits = order.epoch == self.state.epoch
-            && order.fence >= self.fence
-            && order.expected_orders.is_none_or(|n| n == self.state.orders);
-        if order.fence > self.fence && order.epoch == self.state.epoch {
-            self.fence = order.fence;
-        }
-        let accepted = fits
-            && match order.action {
-                Action::Prepare { version, .. } => {
-                    version > self.highest && self.state.armed.is_none()
-                }
-                Action::Arm { version, step } => {
-                    self.state.prepared_version == Some(version) && step > begun
-                }
-                Action::Disarm { version } => self.state.map_version != version,
-                Action::Hold { step } => step > begun && self.state.held_step.is_none(),
-                Action::Go { step } => self.state.held_step == Some(step),
-            };
-        if accepted {
-            self.state.orders += 1;
-            match order.action {
-                Action::Prepare { version, .. } => {
-                    self.highest = version;
-                    self.state.prepared_version = None;
-                    self.copied_at_ms = Some((version, now_ms + COPY_MS));
-                }
-                Action::Arm { version, step } => self.state.armed = Some((version, step)),
-                Action::Disarm { .. } => self.state.armed = None,
-                Action::Hold { step } => self.state.held_step = Some(step),
-                Action::Go { .. } => self.state.held_step = None,
-            }
-        }
-        accepted
-    }
-
-    fn begin(&mut self, step: u64) {
-        self.state.step = step;
-        if let Some((version, at)) = self.state.armed
-            && at <= step
-        {
-            self.state.map_version = version;
-            self.state.armed = None;
-        }
-    }
-}
-
 /// How orders fare, by draws.
 #[derive(Clone, Debug)]
 struct Fate {
@@ -97,17 +41,7 @@
 
 impl World {
     fn new(seed: u64, fate: Fate) -> Self {
-        let rank = |rank| Rank {
-            state: RankState {
-                group: "g".into(),
-                epoch: 1,
-                rank,
-                size: RANKS as u32,
-                is_open: true,
-                ..RankState::default()
-            },
-            ..Rank::default()
-        };
+        let rank = |rank| Rank::new("g", 1, rank, RANKS as u32);
         Self {
             now_ms: 0,
             next_pass_ms: PASS_MS,
@@ -147,7 +81,7 @@
         let (due, rest) = self.late.drain(..).partition(|(at, ..)| *at <= now_ms);
         self.late = rest;
         for (_, rank, order) in due {
-            self.ranks[rank].take(now_ms, &order);
+            let _ = self.ranks[rank].take(now_ms, &order);
         }
         for rank in 0..RANKS {
             if self.dead[rank] || now_ms < self.busy_until_ms[rank] {
@@ -160,19 +94,11 @@
                     self.late.push((now_ms + late_ms, rank, order));
                     self.busy_until_ms[rank] = now_ms + ORDER_LIMIT_MS;
                 } else {
-                    self.ranks[rank].take(now_ms, &order);
+                    let _ = self.ranks[rank].take(now_ms, &order);
                 }
             }
         }
-        for rank in &mut self.ranks {
-            if let Some((version, at)) = rank.copied_at_ms
-                && at <= now_ms
-            {
-                rank.state.prepared_version = Some(version);
-                rank.copied_at_ms = None;
-            }
-            rank.state.busy = rank.copied_at_ms.is_some();
-        }
+        self.ranks.iter_mut().for_each(|rank| rank.copy(now_ms));
         self.pass();
     }
 
@@ -203,6 +129,7 @@
 /// Runs a leader for a time; starts a change whenever it may.
 fn lead(world: &mut World, switch: &mut Switch, for_ms: u64) -> u32 {
     let (mut changes, until_ms) = (0, world.now_ms + for_ms);
+    switch.know(map());
     while world.now_ms < until_ms {
         let observed = world.observed();
         if switch.is_ready(world.now_ms, &observed) {
@@ -240,18 +167,7 @@
     let mut switch = Switch::new(1, RANKS, 0);
     switch.start(0, map());
     lead(&mut world, &mut switch, 200);
-    for (index, rank) in world.ranks.iter_mut().enumerate() {
-        let (group, number, size) = ("g".into(), index as u32, RANKS as u32);
-        let state = RankState {
-            group,
-            rank: number,
-            size,
-            epoch: 2,
-            is_open: true,
-            ..RankState::default()
-        };
-        *rank = Rank { state, ..Rank::default() };
-    }
+    world.ranks = (0..RANKS as u32).map(|rank| Rank::new("g", 2, rank, RANKS as u32)).collect();
     world.giving.iter_mut().for_each(VecDeque::clear);
     switch.advance(world.now_ms, &world.observed());
     assert_eq!(*switch.phase(), Phase::Idle);
@@ -269,6 +185,8 @@
 }
 
 proptest! {
+    #![proptest_config(common::proptest_config(256))]
+
     #[test]
     fn orders_lost(seed in any::<u64>(), lost in 0u8..60, late_ms in 10u64..3_000) {
         let mut world = World::new(seed, Fate { lost, late_ms });
@@ -304,6 +222,7 @@
     fn two_leaders(seed in any::<u64>(), lost in 0u8..50, turns in 1usize..60) {
         let mut world = World::new(seed, Fate { lost, late_ms: 1_500 });
         let mut leaders = [Switch::new(1, RANKS, 0), Switch::new(2, RANKS, 1)];
+        leaders.iter_mut().for_each(|switch| switch.know(map()));
         for turn in 0..turns * 10 {
             let switch = &mut leaders[usize::from(world.draw() % 2 == 0)];
             let observed = world.observed();
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use currantlink_core::routes::{ExpertFigures, RouteTable};
 use currantlink_core::switch::{Action, Order, RankState};
-use currantlink_platform::engine::EngineState;
+use currantlink_platform::engine::{EngineState, HeldExperts};
 use currantlink_platform::store::StoreClient;
 use currantlink_platform::{config, names};
 use currantlink_wire::peers::{
@@ -59,6 +59,8 @@
     Polled { state: EngineState, counts: Vec<u64>, experts: Vec<Vec<u32>> },
     /// A rank whose agent is silent.
     Remote(SocketAddr, RankState),
+    /// Its experts.
+    RemoteExperts { rank: u32, held: HeldExperts },
     /// The store gave this process a fencing number.
     Claimed { fence: u64, group: String },
 }
@@ -244,11 +246,22 @@
         match event {
             Event::Polled { state, counts, experts } => self.polled(state, counts, experts).await,
             Event::Remote(backend, state) => {
+                let Some(conductor) = &mut self.conductor else {
+                    return;
+                };
+                if conductor.lacks_experts(&state) {
+                    self.read_experts(backend, state.rank);
+                }
                 if let Some(conductor) = &mut self.conductor {
                     conductor.observed(now_ms(), backend, state);
                 }
                 self.conduct().await;
             }
+            Event::RemoteExperts { rank, held } => {
+                if let Some(conductor) = &mut self.conductor {
+                    conductor.held(rank, held.map_version, held.experts);
+                }
+            }
             Event::Claimed { fence, group } => self.claimed(fence, &group),
         }
     }
@@ -438,6 +451,17 @@
         });
     }
 
+    fn read_experts(&self, backend: SocketAddr, rank: u32) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            match RankClient::new(backend).held().await {
+                // The receiver is gone only when the process ends.
+                Ok(held) => drop(events.send(Event::RemoteExperts { rank, held })),
+                Err(error) => log::info!(backend:% = backend, error:% = error; "experts not read"),
+            }
+        });
+    }
+
     fn claim(&self, group: String) {
         let mut store = StoreClient::new(self.settings.common.store);
         let events = self.events.clone();
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -111,6 +111,20 @@
         }
     }
 
+    /// Returns whether the experts of a rank are not known for its map in use.
+    pub fn lacks_experts(&self, state: &RankState) -> bool {
+        let known = self.ranks.get(state.rank as usize).and_then(|rank| rank.experts_version);
+        known != Some(state.map_version)
+    }
+
+    /// Takes the experts of a rank that were read from here.
+    pub fn held(&mut self, rank: u32, map_version: u64, experts: Vec<Vec<u32>>) {
+        if let Some(rank) = self.ranks.get_mut(rank as usize) {
+            rank.experts = experts;
+            rank.experts_version = Some(map_version);
+        }
+    }
+
     /// Returns whether the backend of some rank is still not known, and is to be looked for now.
     pub fn has_unknown(&mut self, now_ms: u64) -> bool {
         let due = now_ms > self.started_ms + SILENT_MS && now_ms > self.looked_ms + REMOTE_EVERY_MS;
@@ -141,6 +155,9 @@
 
     /// Moves the change on, or starts one; returns the orders to give.
     pub fn advance(&mut self, now_ms: u64) -> Vec<(Way, Order)> {
+        if let Some(map) = self.map() {
+            self.switch.know(Arc::new(map));
+        }
         let mut orders = self.switch.advance(now_ms, &self.states);
         if let Some(ended) = self.switch.take_ended() {
             log::info!(fence = self.fence(), outcome:% = ended; "map change ended");
--- /dev/null
+++ b/standins/src/backends.rs
@@ -0,0 +1,443 @@
+//! The deployment's backends: plain services and ranks of model groups, with their faults.
+//!
+//! They write bytes themselves, as some of their answers are no answers in the protocol.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use currantlink_core::switch::{Action, Order};
+use currantlink_platform::names;
+use http::HeaderName;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::lockstep::Lockstep;
+use crate::rank::Refused;
+
+const READ_BYTES: usize = 16 << 10;
+const MAX_HEADERS: usize = 64;
+
+/// What happens to the next request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing special.
+    None,
+    /// It is refused without being run.
+    Refuse,
+    /// It is run and answered with a failure.
+    Fail,
+    /// It is run and its answer is lost with the connection.
+    LoseAnswer,
+    /// It is run and never answered.
+    Hang,
+    /// Another answer comes before its own.
+    StrayAnswer,
+    /// Bytes follow its answer.
+    ExtraBytes,
+    /// Its answer lacks the signature.
+    Unsigned,
+    /// Its answer has no length and is reset on the way.
+    Reset,
+    /// Its stream breaks off in the middle of the event after this many.
+    BreakAfter(u64),
+}
+
+/// A request that was run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Run {
+    /// Id of the client's attempt.
+    pub attempt_id: String,
+    /// Method and path.
+    pub target: String,
+    /// Workspace that was named.
+    pub workspace: Option<String>,
+    /// Key of the client, where it was passed on.
+    pub key: Option<String>,
+    /// Time that was said to be left.
+    pub deadline_ms: Option<u64>,
+    /// Last event that the client was said to have.
+    pub last_event_id: Option<u64>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A backend.
+#[derive(Clone)]
+pub struct Backend {
+    id: String,
+    group: Option<(Lockstep, usize)>,
+    events: u64,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    faults: VecDeque<Fault>,
+    runs: Vec<Run>,
+    arrivals: u64,
+    broken_off: u64,
+    active: u32,
+}
+
+struct Call {
+    method: String,
+    target: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+impl Backend {
+    /// A backend of a plain service.
+    pub fn plain(id: &str) -> Self {
+        Self { id: id.to_owned(), group: None, events: 0, state: Arc::default() }
+    }
+
+    /// A rank of a model group whose streams have so many events.
+    pub fn model(id: &str, group: Lockstep, rank: usize, events: u64) -> Self {
+        Self { id: id.to_owned(), group: Some((group, rank)), events, state: Arc::default() }
+    }
+
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        let backend = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let backend = backend.clone();
+                tokio::spawn(async move {
+                    // A client that goes away is no failure of the stand-in.
+                    let _ = backend.converse(stream).await;
+                });
+            }
+        });
+        Ok(bound)
+    }
+
+    /// Sets what happens to the next requests, one after the other.
+    pub fn plan(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.state().faults.extend(faults);
+    }
+
+    /// Returns the requests that were run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    /// Returns the requests that arrived, run or not.
+    pub fn arrivals(&self) -> u64 {
+        self.state().arrivals
+    }
+
+    /// Returns the requests whose client left while they ran.
+    pub fn broken_off(&self) -> u64 {
+        self.state().broken_off
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn converse(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut buffer = Vec::new();
+        while let Some(call) = read_call(&mut stream, &mut buffer).await? {
+            let path = call.target.split('?').next().unwrap_or_default();
+            let keeps = match (path, &self.group) {
+                (names::REPORT_PATH, Some(_)) => self.report(&mut stream).await?,
+                (names::COUNTS_PATH, Some(_)) => self.counts(&mut stream, &call).await?,
+                (names::ORDER_PATH, Some(_)) => self.order(&mut stream, &call).await?,
+                _ => self.request(&mut stream, &call).await?,
+            };
+            if !keeps {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    async fn request(&self, stream: &mut TcpStream, call: &Call) -> io::Result<bool> {
+        let id = call.header(names::ATTEMPT_ID.as_str()).unwrap_or_default().to_owned();
+        let expected = call.header(names::EXPECT_BACKEND.as_str());
+        let fault = {
+            let mut state = self.state();
+            state.arrivals += 1;
+            state.faults.pop_front().unwrap_or(Fault::None)
+        };
+        if expected.is_some_and(|expected| expected != self.id) {
+            write(stream, "421 Misdirected Request", &[(names::BACKEND_ID, &self.id)], b"").await?;
+            return Ok(true);
+        }
+        if fault == Fault::Refuse {
+            let headers = [(names::NOT_RUN, "1"), (names::ATTEMPT_ID, id.as_str())];
+            write(stream, "503 Service Unavailable", &headers, b"").await?;
+            return Ok(true);
+        }
+        self.note_run(call, &id);
+        let signature = format!("{}.{id}", self.id);
+        let signed = [(names::ATTEMPT_ID, id.as_str()), (names::SIGNATURE, signature.as_str())];
+        let body = format!("{id} by {}", self.id);
+        match fault {
+            Fault::LoseAnswer => Ok(false),
+            Fault::Hang => self.hang(stream).await,
+            Fault::Fail => {
+                write(stream, "500 Internal Server Error", &signed, b"failed").await?;
+                Ok(true)
+            }
+            Fault::Unsigned => {
+                write(stream, "200 OK", &signed[..1], body.as_bytes()).await?;
+                Ok(true)
+            }
+            Fault::Reset => self.reset(stream, &signed, body.as_bytes()).await,
+            _ if self.group.is_some() => self.events(stream, call, &signed, fault).await,
+            _ => {
+                if fault == Fault::StrayAnswer {
+                    let stray = [(names::ATTEMPT_ID, "other"), (names::SIGNATURE, "x")];
+                    write(stream, "200 OK", &stray, b"stray").await?;
+                }
+                write(stream, "200 OK", &signed, body.as_bytes()).await?;
+                if fault == Fault::ExtraBytes {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra").await?;
+                }
+                Ok(true)
+            }
+        }
+    }
+
+    fn note_run(&self, call: &Call, id: &str) {
+        let number = |name: &str| call.header(name).and_then(|value| value.parse().ok());
+        self.state().runs.push(Run {
+            attempt_id: id.to_owned(),
+            target: format!("{} {}", call.method, call.target),
+            workspace: call.header(names::WORKSPACE.as_str()).map(str::to_owned),
+            key: call.header("authorization").map(str::to_owned),
+            deadline_ms: number(names::DEADLINE_MS.as_str()),
+            last_event_id: number(names::LAST_EVENT_ID.as_str()),
+            body: call.body.clone(),
+        });
+    }
+
+    async fn hang(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        let mut byte = [0; 1];
+        let read = stream.read(&mut byte).await;
+        self.state().broken_off += 1;
+        read.map(|_| false)
+    }
+
+    async fn reset(
+        &self,
+        stream: &mut TcpStream,
+        signed: &[(HeaderName, &str)],
+        body: &[u8],
+    ) -> io::Result<bool> {
+        let head = head("200 OK", signed, None);
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(&body[..body.len() / 2]).await?;
+        stream.flush().await?;
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        // Closing with unread bytes or without lingering resets the connection.
+        stream.set_zero_linger()?;
+        Ok(false)
+    }
+
+    async fn events(
+        &self,
+        stream: &mut TcpStream,
+        call: &Call,
+        signed: &[(HeaderName, &str)],
+        fault: Fault,
+    ) -> io::Result<bool> {
+        let Some((mut group, _)) = self.group.clone() else {
+            return Ok(false);
+        };
+        let from = call.header(names::LAST_EVENT_ID.as_str()).and_then(|id| id.parse().ok());
+        let head = head("200 OK", signed, Some("Transfer-Encoding: chunked"));
+        stream.write_all(head.as_bytes()).await?;
+        self.state().active += 1;
+        let done = async {
+            for event in from.unwrap_or(0) + 1..=self.events {
+                group.pass().await;
+                let text = format!("id: {event}\ndata: piece {event}\n\n");
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                if matches!(fault, Fault::BreakAfter(events) if event > events) {
+                    stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
+                    return Ok(false);
+                }
+                stream.write_all(chunk.as_bytes()).await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+            Ok(true)
+        };
+        let done: io::Result<bool> = done.await;
+        let mut state = self.state();
+        state.active -= 1;
+        state.broken_off += u64::from(done.is_err());
+        done
+    }
+
+    async fn report(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        let Some((group, rank)) = &self.group else {
+            return Ok(false);
+        };
+        let rank = group.rank(*rank).state;
+        let armed = rank.armed.map(|(version, step)| json!({ "version": version, "step": step }));
+        let body = json!({
+            "stage": "combined", "busy": rank.busy, "sequence": rank.orders,
+            "queued": 0, "active": self.state().active, "step": rank.step,
+            "map": rank.map_version, "prepared": rank.prepared_version, "armed": armed,
+            "held": rank.held_step, "size": rank.size,
+            "group": { "name": rank.group, "epoch": rank.epoch, "rank": rank.rank, "state": "open" },
+        });
+        write(stream, "200 OK", &[], body.to_string().as_bytes()).await?;
+        Ok(true)
+    }
+
+    async fn counts(&self, stream: &mut TcpStream, call: &Call) -> io::Result<bool> {
+        let Some((group, rank)) = &self.group else {
+            return Ok(false);
+        };
+        let state = group.rank(*rank).state;
+        let body = if call.target.contains("lists") {
+            let in_turn = || vec![experts_in_turn(state.rank, state.size)];
+            let experts = group.experts(*rank).unwrap_or_else(in_turn);
+            json!({ "map": { "version": state.map_version, "experts": experts }, "prepared": null })
+        } else {
+            json!({ "step": state.step, "epoch": state.epoch, "counts": choices(state.step) })
+        };
+        write(stream, "200 OK", &[], body.to_string().as_bytes()).await?;
+        Ok(true)
+    }
+
+    async fn order(&self, stream: &mut TcpStream, call: &Call) -> io::Result<bool> {
+        let Some((group, rank)) = &self.group else {
+            return Ok(false);
+        };
+        let raw: Option<RawOrder> = serde_json::from_slice(&call.body).ok();
+        let Some((order, map)) = raw.and_then(RawOrder::read) else {
+            write(stream, "400 Bad Request", &[], b"").await?;
+            return Ok(true);
+        };
+        let status = match group.order(*rank, &order, map) {
+            Some(Ok(())) => "202 Accepted",
+            Some(Err(Refused::Conflict)) => "409 Conflict",
+            Some(Err(Refused::Fenced)) => "412 Precondition Failed",
+            None => return self.hang(stream).await,
+        };
+        write(stream, status, &[], b"").await?;
+        Ok(true)
+    }
+}
+
+/// Experts of a group's only set.
+pub const EXPERTS: u32 = 12;
+
+fn experts_in_turn(rank: u32, size: u32) -> Vec<u32> {
+    (0..EXPERTS).filter(|expert| expert % size == rank).collect()
+}
+
+/// Choices up to a pass: the first expert gets a third of them.
+fn choices(step: u64) -> Vec<u64> {
+    (0..EXPERTS).map(|expert| step * if expert == 0 { 600 } else { 100 }).collect()
+}
+
+#[derive(Deserialize)]
+struct RawOrder {
+    op: String,
+    fence: u64,
+    epoch: u64,
+    expect: Option<u64>,
+    version: Option<u64>,
+    step: Option<u64>,
+    map: Option<Vec<Vec<Vec<u32>>>>,
+}
+
+impl RawOrder {
+    fn read(self) -> Option<(Order, Option<Vec<Vec<Vec<u32>>>>)> {
+        let action = match self.op.as_str() {
+            "prepare" => {
+                let map = Arc::new(self.map.clone()?);
+                Action::Prepare { version: self.version?, map }
+            }
+            "arm" => Action::Arm { version: self.version?, step: self.step? },
+            "disarm" => Action::Disarm { version: self.version? },
+            "hold" => Action::Hold { step: self.step? },
+            "go" => Action::Go { step: self.step? },
+            _ => return None,
+        };
+        let (fence, epoch, expected_orders) = (self.fence, self.epoch, self.expect);
+        Some((Order { fence, epoch, expected_orders, action }, self.map))
+    }
+}
+
+async fn read_call(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Call>> {
+    loop {
+        let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut storage);
+        let malformed = |_| io::Error::from(io::ErrorKind::InvalidData);
+        if let httparse::Status::Complete(len) = parsed.parse(buffer).map_err(malformed)? {
+            let headers = parsed.headers.iter().map(|header| {
+                (header.name.to_owned(), String::from_utf8_lossy(header.value).into_owned())
+            });
+            let mut call = Call {
+                method: parsed.method.unwrap_or_default().to_owned(),
+                target: parsed.path.unwrap_or_default().to_owned(),
+                headers: headers.collect(),
+                body: Vec::new(),
+            };
+            let body_len = call.header("content-length").and_then(|len| len.parse().ok());
+            let end = len + body_len.unwrap_or(0);
+            while buffer.len() < end {
+                if fill(stream, buffer).await? == 0 {
+                    return Ok(None);
+                }
+            }
+            call.body = buffer[len..end].to_vec();
+            buffer.drain(..end);
+            return Ok(Some(call));
+        }
+        if fill(stream, buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    buffer.reserve(READ_BYTES);
+    stream.read_buf(buffer).await
+}
+
+fn head(status: &str, headers: &[(HeaderName, &str)], framing: Option<&str>) -> String {
+    let mut head = format!("HTTP/1.1 {status}\r\nKeep-Alive: timeout=10\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if let Some(framing) = framing {
+        head.push_str(framing);
+        head.push_str("\r\n");
+    }
+    head + "\r\n"
+}
+
+async fn write(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &[(HeaderName, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let head = head(status, headers, Some(&format!("Content-Length: {}", body.len())));
+    stream.write_all(&[head.as_bytes(), body].concat()).await
+}
--- /dev/null
+++ b/standins/src/lockstep.rs
@@ -0,0 +1,128 @@
+//! A group of ranks that begin each pass together.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use currantlink_core::switch::{ExpertMap, Order};
+use tokio::sync::watch;
+
+use crate::rank::{Rank, Refused};
+
+const PASS: Duration = Duration::from_millis(15);
+
+/// A group. Its passes go on until it is dropped.
+#[derive(Clone)]
+pub struct Lockstep {
+    state: Arc<Mutex<State>>,
+    passes: watch::Receiver<u64>,
+    started: Instant,
+}
+
+struct State {
+    ranks: Vec<Rank>,
+    maps: Vec<(u64, Arc<ExpertMap>)>,
+    broken: u64,
+    held: Duration,
+    orders_lost: u32,
+}
+
+impl Lockstep {
+    /// Forms a group; has to be called within a runtime.
+    pub fn form(size: u32) -> Self {
+        let ranks = (0..size).map(|rank| Rank::new("g0", 1, rank, size)).collect();
+        let (maps, broken, held, orders_lost) = (Vec::new(), 0, Duration::ZERO, 0);
+        let state = Arc::new(Mutex::new(State { ranks, maps, broken, held, orders_lost }));
+        let (begun, passes) = watch::channel(0);
+        let (weak, started) = (Arc::downgrade(&state), Instant::now());
+        tokio::spawn(async move {
+            let mut step = 0;
+            loop {
+                tokio::time::sleep(PASS).await;
+                let Some(state) = weak.upgrade() else {
+                    return;
+                };
+                let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+                if state.begin(step + 1, started.elapsed().as_millis() as u64) {
+                    step += 1;
+                    begun.send_replace(step);
+                }
+            }
+        });
+        Self { state, passes, started }
+    }
+
+    /// Waits for the next pass.
+    pub async fn pass(&mut self) {
+        if self.passes.changed().await.is_err() {
+            std::future::pending().await
+        }
+    }
+
+    /// Gives an order to a rank; nothing where its answer is lost.
+    pub fn order(
+        &self,
+        rank: usize,
+        order: &Order,
+        map: Option<ExpertMap>,
+    ) -> Option<Result<(), Refused>> {
+        use currantlink_core::switch::Action;
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let mut state = self.lock();
+        let taken = state.ranks[rank].take(now_ms, order);
+        if let (Ok(()), Action::Prepare { version, .. }, Some(map)) = (taken, &order.action, map) {
+            state.maps.push((*version, Arc::new(map)));
+        }
+        if state.orders_lost > 0 {
+            state.orders_lost -= 1;
+            return None;
+        }
+        Some(taken)
+    }
+
+    /// Lets the answers of so many orders be lost.
+    pub fn lose_orders(&self, count: u32) {
+        self.lock().orders_lost = count;
+    }
+
+    /// Returns a rank.
+    pub fn rank(&self, rank: usize) -> Rank {
+        self.lock().ranks[rank].clone()
+    }
+
+    /// Returns the experts of a rank by set, of the map in use; nothing for map 0.
+    pub fn experts(&self, rank: usize) -> Option<Vec<Vec<u32>>> {
+        let state = self.lock();
+        let version = state.ranks[rank].state.map_version;
+        let (_, map) = state.maps.iter().find(|(known, _)| *known == version)?;
+        Some(map.iter().map(|set| set[rank].clone()).collect())
+    }
+
+    /// Returns the passes that began while two ranks had different maps.
+    pub fn broken_passes(&self) -> u64 {
+        self.lock().broken
+    }
+
+    /// Returns the time for which the group was held.
+    pub fn held(&self) -> Duration {
+        self.lock().held
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Begins a pass, where no rank is held; returns whether it began.
+    fn begin(&mut self, step: u64, now_ms: u64) -> bool {
+        self.ranks.iter_mut().for_each(|rank| rank.copy(now_ms));
+        if self.ranks.iter().any(|rank| rank.state.held_step.is_some_and(|held| held <= step)) {
+            self.held += PASS;
+            return false;
+        }
+        self.ranks.iter_mut().for_each(|rank| rank.begin(step));
+        let first = self.ranks[0].state.map_version;
+        self.broken += u64::from(self.ranks.iter().any(|r| r.state.map_version != first));
+        true
+    }
+}
--- /dev/null
+++ b/standins/src/records.rs
@@ -0,0 +1,249 @@
+//! The platform's store: an append-only log with keyed topics, and its faults.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use currantlink_platform::store;
+use http::{Response, StatusCode};
+use indexmap::IndexMap;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::server::{self, Body, Call};
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    /// It serves them.
+    #[default]
+    Up,
+    /// It refuses them; nothing is done.
+    Busy,
+    /// It reads them and does nothing.
+    Silent,
+    /// It does them and does not answer.
+    AnswersLost,
+}
+
+/// The store.
+#[derive(Clone, Default)]
+pub struct Records(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    topics: IndexMap<String, Topic>,
+    health: Health,
+    delay: Duration,
+    calls: u64,
+}
+
+#[derive(Default)]
+struct Topic {
+    first_offset: u64,
+    records: Vec<Bytes>,
+    newest: IndexMap<String, (u64, Bytes)>,
+}
+
+impl Topic {
+    fn end_offset(&self) -> u64 {
+        self.first_offset + self.records.len() as u64
+    }
+}
+
+impl Records {
+    /// Listens on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound.
+    pub async fn serve(&self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let records = self.clone();
+        server::serve(address, move |call| {
+            let records = records.clone();
+            Box::pin(async move { records.answer(&call).await })
+        })
+        .await
+    }
+
+    /// Sets what the store does with calls from now on.
+    pub fn set_health(&self, health: Health) {
+        self.state().health = health;
+    }
+
+    /// Sets the time that an answer takes.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state().delay = delay;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    /// Appends a record of a keyed topic, as the operator or a backend does.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        self.append(topic, vec![store::keyed_record(key, value)]);
+    }
+
+    /// Forgets all records; the newest of each key of keyed topics stays.
+    pub fn forget(&self) {
+        for topic in self.state().topics.values_mut() {
+            topic.first_offset = topic.end_offset();
+            topic.records.clear();
+        }
+    }
+
+    fn append(&self, topic: &str, records: Vec<Bytes>) -> (u64, u64) {
+        let is_keyed = topic.starts_with("keyed.");
+        let mut state = self.state();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        let offset = topic.end_offset();
+        for record in records {
+            let at = topic.end_offset();
+            if is_keyed && let Ok(keyed) = store::keyed(record.clone()) {
+                match keyed.value {
+                    Some(value) => drop(topic.newest.insert(keyed.key, (at, value))),
+                    None => drop(topic.newest.shift_remove(&keyed.key)),
+                }
+            }
+            topic.records.push(record);
+        }
+        let end_offset = topic.end_offset();
+        drop(state);
+        self.0.changed.notify_waiters();
+        (offset, end_offset)
+    }
+
+    async fn answer(&self, call: &Call) -> Response<Body> {
+        let (health, delay) = {
+            let mut state = self.state();
+            state.calls += 1;
+            (state.health, state.delay)
+        };
+        tokio::time::sleep(delay).await;
+        match health {
+            Health::Up => self.perform(call).await,
+            Health::Busy => server::status(StatusCode::SERVICE_UNAVAILABLE),
+            Health::Silent => std::future::pending().await,
+            Health::AnswersLost => {
+                self.perform(call).await;
+                std::future::pending().await
+            }
+        }
+    }
+
+    async fn perform(&self, call: &Call) -> Response<Body> {
+        let topic = call.query("topic").unwrap_or_default().to_owned();
+        match call.path() {
+            "/api/log-append" => self.append_call(call, &topic),
+            "/api/log-newest" => self.newest_call(call, &topic),
+            "/api/log-read" => self.read_call(call, &topic).await,
+            _ => server::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn append_call(&self, call: &Call, topic: &str) -> Response<Body> {
+        let end_offset = self.state().topics.get(topic).map_or(0, Topic::end_offset);
+        if call.query("at").is_some_and(|at| at.parse() != Ok(end_offset)) {
+            let body = json!({ "end_offset": end_offset });
+            return server::json_status(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        let Some(records) = split(&call.body) else {
+            return server::status(StatusCode::BAD_REQUEST);
+        };
+        let (offset, end_offset) = self.append(topic, records);
+        server::json_status(StatusCode::OK, &json!({ "offset": offset, "end_offset": end_offset }))
+    }
+
+    fn newest_call(&self, call: &Call, topic: &str) -> Response<Body> {
+        const PAGE: usize = 5;
+        let state = self.state();
+        let empty = Topic::default();
+        let topic = state.topics.get(topic).unwrap_or(&empty);
+        let mut keys: Vec<&String> = topic.newest.keys().collect();
+        keys.sort();
+        let after = call.query("after").unwrap_or_default();
+        let rest: Vec<&String> = keys.into_iter().filter(|key| key.as_str() > after).collect();
+        let item = |key: &&String| {
+            let (offset, value) = &topic.newest[key.as_str()];
+            json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
+        };
+        let items: Vec<_> = rest.iter().take(PAGE).map(item).collect();
+        let has_more = rest.len() > PAGE;
+        let end_offset = topic.end_offset();
+        let body = json!({ "items": items, "has_more": has_more, "end_offset": end_offset });
+        server::json_status(StatusCode::OK, &body)
+    }
+
+    async fn read_call(&self, call: &Call, topic: &str) -> Response<Body> {
+        let from: u64 = call.query("from").and_then(|from| from.parse().ok()).unwrap_or(0);
+        let wait_ms = call.query("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.0.changed.notified();
+            if let Some(response) = self.read_now(topic, from, wait_ms > 0) {
+                return response;
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return self
+                    .read_now(topic, from, false)
+                    .unwrap_or_else(|| server::status(StatusCode::INTERNAL_SERVER_ERROR));
+            }
+        }
+    }
+
+    /// Reads what there is; nothing where the caller waits and there is none.
+    fn read_now(&self, topic: &str, from: u64, waits: bool) -> Option<Response<Body>> {
+        let state = self.state();
+        let empty = Topic::default();
+        let topic = state.topics.get(topic).unwrap_or(&empty);
+        if from < topic.first_offset {
+            let body = json!({ "first": topic.first_offset });
+            return Some(server::json_status(StatusCode::GONE, &body));
+        }
+        let skipped = (from - topic.first_offset) as usize;
+        let records = topic.records.get(skipped..).unwrap_or_default();
+        if records.is_empty() && waits {
+            return None;
+        }
+        let mut body = Vec::new();
+        body.extend_from_slice(&topic.end_offset().to_be_bytes());
+        body.extend_from_slice(&topic.first_offset.to_be_bytes());
+        for record in records {
+            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+            body.extend_from_slice(record);
+        }
+        Some(server::bytes(Bytes::from(body)))
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn split(body: &Bytes) -> Option<Vec<Bytes>> {
+    const LEN_BYTES: usize = 4;
+    let mut rest = body.clone();
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let len: [u8; LEN_BYTES] = rest.get(..LEN_BYTES)?.try_into().ok()?;
+        let len = u32::from_be_bytes(len) as usize;
+        let _ = rest.split_to(LEN_BYTES);
+        if rest.len() < len {
+            return None;
+        }
+        records.push(rest.split_to(len));
+    }
+    Some(records)
+}
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -114,6 +114,18 @@
     response
 }
 
+/// Builds a response of bytes.
+pub fn bytes(bytes: Bytes) -> Response<Body> {
+    Response::new(Full::new(bytes).boxed())
+}
+
+/// Builds a JSON response with a status.
+pub fn json_status(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let mut response = json(value);
+    *response.status_mut() = status;
+    response
+}
+
 /// Builds an empty response.
 pub fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Full::new(Bytes::new()).boxed());
