Pick the map that gains fastest, and find peers soon after a common start

Change: peers' records are read again after 0.5, 1, 2 .. 16 s; of plans with 1 to 3 copies the one with the greatest gain for each second of copying and switching is taken. Conclusion: early discovery is what the map needs.

--- a/core/src/rebalance.rs
+++ b/core/src/rebalance.rs
@@ -2,7 +2,7 @@
 //!
 //! Copying an expert to a rank takes long against the time that demand stays, so a plan brings only
 //! a few experts to each rank, where they lower the load of the fullest ranks most, and is made again
-//! as soon as it is in use.
+//! as soon as it is in use. Of plans with more or fewer copies the one that gains fastest is taken.
 
 use crate::routes::ExpertFigures;
 use crate::switch::ExpertMap;
@@ -14,10 +14,12 @@
 const COPY_SLOWDOWN: f64 = 0.15;
 /// Time that a plan is judged over. Demand of the users' days stays for about this long.
 const HORIZON_MS: f64 = 3_000.0;
+/// Time of a change besides the copying: holding, arming and the next plan.
+const SWITCH_MS: f64 = 300.0;
 /// Least gain of a plan over staying, as a share of the pass time; below it orders cost more.
 const LEAST_GAIN: f64 = 0.02;
 /// Most experts that a plan brings to one rank.
-const MAX_COPIES: usize = 6;
+const MAX_COPIES: usize = 3;
 
 /// A map with what it costs and gives.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,22 +37,23 @@
 /// Plans a better map than `map` for these `rates` of choices by set and expert; nothing where no
 /// plan is worth its copies.
 pub fn plan(map: &ExpertMap, rates: &[Vec<f64>], figures: &ExpertFigures) -> Option<MapPlan> {
-    let start = Search::new(map, rates, figures);
-    let skew_before = start.skew();
-    let staying_ms = HORIZON_MS * pass_factor(skew_before, figures);
+    let mut search = Search::new(map, rates, figures);
+    let skew_before = search.skew();
+    let before = pass_factor(skew_before, figures);
     let mut best: Option<(f64, MapPlan)> = None;
-    let mut search = start;
     for copies in 1..=MAX_COPIES {
         search.fill(copies);
         let skew_after = search.skew();
+        let gain = before - pass_factor(skew_after, figures);
         let copy_ms = copies as f64 * figures.copy_ms;
-        let copying = copy_ms * (1.0 + COPY_SLOWDOWN) * pass_factor(skew_before, figures);
-        let after = (HORIZON_MS - copy_ms).max(0.0) * pass_factor(skew_after, figures);
-        let cost_ms = copying + after;
-        let limit_ms = best.as_ref().map_or(staying_ms * (1.0 - LEAST_GAIN), |(cost, _)| *cost);
-        if cost_ms < limit_ms {
+        let gained = gain * (HORIZON_MS - copy_ms).max(0.0);
+        if gain < LEAST_GAIN * before || gained < COPY_SLOWDOWN * before * copy_ms {
+            continue;
+        }
+        let speed = gain / (copy_ms + SWITCH_MS);
+        if best.as_ref().is_none_or(|(fastest, _)| speed > *fastest) {
             let map = search.map();
-            best = Some((cost_ms, MapPlan { map, copies, skew_before, skew_after }));
+            best = Some((speed, MapPlan { map, copies, skew_before, skew_after }));
         }
     }
     best.map(|(_, plan)| plan)
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -13,7 +13,7 @@
 /// Time between two reads of a rank whose agent is silent; they are priced.
 const REMOTE_EVERY_MS: u64 = 250;
 /// Time after a change before the next plan: the demand memory has to see the new map's time.
-const REST_MS: u64 = 20;
+const REST_MS: u64 = 100;
 
 /// What the leader knows of one rank.
 #[derive(Clone, Debug, Default)]
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -24,8 +24,11 @@
 /// Time between two reads of the backends' records; a leaving backend takes requests for some
 /// seconds after it has said so.
 const BACKENDS_EVERY: Duration = Duration::from_millis(500);
-/// Time between two reads of the peers' records; new peers also greet by themselves.
-const PEERS_EVERY: Duration = Duration::from_secs(15);
+/// Time between two reads of the peers' records, at first: processes that start together may miss
+/// each other's records. It doubles with each read.
+const PEERS_FIRST: Duration = Duration::from_millis(500);
+/// Longest time between two reads; later peers greet by themselves.
+const PEERS_EVERY: Duration = Duration::from_secs(16);
 /// Time before the next call after a failed one.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Key under which the peers' shared key is kept. Not a name of a process.
@@ -166,6 +169,7 @@
     let mut follower = Follower::new(store, names::PEERS_TOPIC);
     let mut registered = false;
     let mut has_key = false;
+    let mut pause = PEERS_FIRST;
     loop {
         let (seen, _) = follower.next_read(Duration::ZERO).await;
         let (Seen::All(records) | Seen::Changes(records)) = seen;
@@ -193,7 +197,12 @@
         if !registered {
             registered = register(&mut follower, &own).await;
         }
-        tokio::time::sleep(if registered { PEERS_EVERY } else { PAUSE }).await;
+        if registered {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(PEERS_EVERY);
+        } else {
+            tokio::time::sleep(PAUSE).await;
+        }
     }
 }
 
