Explain a request from its logs; load tool and fault soak on the stand-ins

Change: currantlink explain ID FILE..., currantlink-bench platform, currantlink-bench soak (signals, store and backend faults from outside, promises checked from what callers and backends see).

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -26,11 +26,58 @@
     /// Compare the rules that pick a backend for an adapter.
     #[bpaf(command)]
     Placement(#[bpaf(external(placement))] Placement),
+    /// Load a small deployment with gateways and agents, and count what callers get.
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform))] Platform),
+    /// Disturb a small deployment at random from outside, and check its promises.
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak))] Soak),
     /// Run one process of `path`.
     #[bpaf(command, hide)]
     Role(#[bpaf(external(role))] Role),
 }
 
+/// `platform`
+#[derive(Clone, Debug, Bpaf)]
+pub struct Platform {
+    /// The daemon.
+    #[bpaf(argument("FILE"), fallback("target/release/currantlinkd".into()))]
+    pub program: PathBuf,
+    /// Length.
+    #[bpaf(argument("S"), fallback(10))]
+    pub seconds: u64,
+    /// Requests per second.
+    #[bpaf(argument("N"), fallback(60.0))]
+    pub rate: f64,
+    /// Seed of the kinds of requests and of the faults.
+    #[bpaf(argument("N"), fallback(1))]
+    pub seed: u64,
+    /// Let the store and backends fail.
+    pub faults: bool,
+    /// Folder that keeps settings and logs.
+    #[bpaf(argument("DIR"), optional)]
+    pub keep: Option<PathBuf>,
+    /// Print JSON lines.
+    pub json: bool,
+}
+
+/// `soak`
+#[derive(Clone, Debug, Bpaf)]
+pub struct Soak {
+    /// The daemon.
+    #[bpaf(argument("FILE"), fallback("target/release/currantlinkd".into()))]
+    pub program: PathBuf,
+    /// First seed.
+    #[bpaf(argument("N"), fallback(1))]
+    pub seed: u64,
+    /// Number of seeds.
+    #[bpaf(argument("N"), fallback(10))]
+    pub seeds: u64,
+    /// Time of faults for each seed.
+    #[bpaf(argument("S"), fallback(5))]
+    pub seconds: u64,
+}
+
 /// `path`
 #[derive(Clone, Debug, Bpaf)]
 pub struct Path {
--- a/bench/src/error.rs
+++ b/bench/src/error.rs
@@ -47,6 +47,13 @@
     /// A request could not be formed.
     #[display("bad request: {_0}")]
     Form(http::Error),
+    /// A soak broke promises.
+    #[display("promises were broken with {seeds} seeds")]
+    #[from(ignore)]
+    PromisesBroken {
+        /// Number of seeds.
+        seeds: u64,
+    },
     /// The processes were not ready in time.
     #[display("the processes were not ready in time")]
     NotReady,
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use currantlink_bench::args::{self, Args};
 use currantlink_bench::error::BenchError;
-use currantlink_bench::{experts, path, placement, routing, slopes};
+use currantlink_bench::{experts, path, placement, platform, routing, slopes, soak};
 
 fn main() -> ExitCode {
     match run(args::parse()) {
@@ -24,6 +24,8 @@
         Args::Path(options) => path::run(&options),
         Args::Slopes(options) => slopes::run(&options),
         Args::Placement(options) => placement::run(&options),
+        Args::Platform(options) => platform::run(&options),
+        Args::Soak(options) => soak::run(&options),
         Args::Role(role) => path::role(&role),
     }
 }
--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -23,6 +23,20 @@
     /// Send a request as a caller.
     #[bpaf(command)]
     Ask(#[bpaf(external(ask))] Ask),
+    /// Print a request's history and its cause from the logs of gateways.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain))] Explain),
+}
+
+/// `explain`
+#[derive(Clone, Debug, Bpaf)]
+pub struct Explain {
+    /// Id of the request.
+    #[bpaf(positional("ID"))]
+    pub request: String,
+    /// Logs of gateways.
+    #[bpaf(positional("FILE"), some("no log is named"))]
+    pub files: Vec<PathBuf>,
 }
 
 /// Subcommands of `config`.
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -18,6 +18,13 @@
         /// Cause.
         source: io::Error,
     },
+    /// No log tells of a request.
+    #[display("no log tells of request {request:?}")]
+    #[from(ignore)]
+    UnknownRequest {
+        /// Its id.
+        request: String,
+    },
     /// Output failed.
     #[display("could not print: {_0}")]
     Print(io::Error),
--- /dev/null
+++ b/cli/src/explain.rs
@@ -0,0 +1,82 @@
+//! `explain`
+
+use std::fs;
+
+use crate::args::Explain;
+use crate::error::CliError;
+use crate::logline::LogLine;
+use crate::output;
+
+impl Explain {
+    /// Prints a request's history from the logs of all processes, and its cause.
+    pub fn run(&self) -> Result<(), CliError> {
+        let mut lines = Vec::new();
+        for path in &self.files {
+            let text = fs::read_to_string(path);
+            let text = text.map_err(|source| CliError::File {
+                action: "read",
+                path: path.clone(),
+                source,
+            })?;
+            let own = text.lines().filter_map(LogLine::parse);
+            lines.extend(own.filter(|line| line.get("request") == Some(&self.request)));
+        }
+        if lines.is_empty() {
+            return Err(CliError::UnknownRequest { request: self.request.clone() });
+        }
+        lines.sort_by(|a, b| a.time.cmp(&b.time));
+        for LogLine { time, message, pairs } in &lines {
+            let pairs = pairs.iter().filter(|(key, _)| *key != "request");
+            let pairs: Vec<String> = pairs.map(|(key, value)| format!("{key}={value}")).collect();
+            output::line(format!("{time} {message}: {}", pairs.join(" ")))?;
+        }
+        output::line(format!("cause: {}", cause(&lines)))
+    }
+}
+
+/// Says in one sentence why the request ended as it did.
+fn cause(lines: &[LogLine]) -> String {
+    let last = |message: &str| lines.iter().rfind(|line| line.message == message);
+    let value = |line: Option<&LogLine>, key| {
+        line.and_then(|line| line.get(key)).unwrap_or("unknown").to_owned()
+    };
+    let failed = last("attempt failed");
+    let lost_with = || format!("{} ({})", value(failed, "backend"), value(failed, "error"));
+    if let Some(early) = last("stream ended early") {
+        let event = value(Some(early), "last_event");
+        return match early.get("reason") {
+            Some("timeout") => format!("the route's time was over after event {event}"),
+            _ => format!("broken off after event {event} with backend {}", lost_with()),
+        };
+    }
+    if let Some(rejected) = last("request rejected") {
+        return match rejected.get("outcome").unwrap_or_default() {
+            "answer-lost" => format!("may have run; lost with backend {}", lost_with()),
+            "timeout" => "may have run; no answer before its time was over".to_owned(),
+            "not-run: full" => "not run; every backend had its slots and queue full".to_owned(),
+            "not-run: forming" => {
+                "not run; the group of its backends stood still or was formed again".to_owned()
+            }
+            "not-run: no-backend" => "not run; no backend of its service was listed".to_owned(),
+            "not-run: refused-by-backends" => {
+                "not run; every backend that was asked refused it".to_owned()
+            }
+            "unknown-key" => "its key is in no configuration in force here".to_owned(),
+            "no-route" => "no route of the configuration in force matches it".to_owned(),
+            "no-configuration" => "the gateway had just started and knew none".to_owned(),
+            other => other.to_owned(),
+        };
+    }
+    let placed = last("request placed");
+    match last("request served") {
+        Some(served) => format!(
+            "served after {} ms by {}, which had {} requests when it was placed (report of {} ms before)",
+            value(Some(served), "after_ms"),
+            value(Some(served), "backend"),
+            value(placed, "load"),
+            value(placed, "report_age_ms"),
+        ),
+        None if placed.is_some() => "still under way, or the caller left".to_owned(),
+        None => "no line says".to_owned(),
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,8 +8,10 @@
 mod client;
 mod drain;
 mod error;
+mod explain;
 mod folder;
 mod history;
+mod logline;
 mod output;
 mod pull;
 mod show;
@@ -43,5 +45,6 @@
         Args::Backends(command) => command.run().await,
         Args::Drain(command) => command.run().await,
         Args::Ask(command) => command.run().await,
+        Args::Explain(command) => command.run(),
     }
 }
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -209,7 +209,7 @@
             fence += 1;
             lead(&mut world, &mut Switch::new(fence, RANKS, holder), for_ms);
             // What was on its way to the agents is gone with the leader or still carried out.
-            if seed % 2 == 0 {
+            if seed.is_multiple_of(2) {
                 world.giving.iter_mut().for_each(VecDeque::clear);
             }
         }
@@ -224,7 +224,7 @@
         let mut leaders = [Switch::new(1, RANKS, 0), Switch::new(2, RANKS, 1)];
         leaders.iter_mut().for_each(|switch| switch.know(map()));
         for turn in 0..turns * 10 {
-            let switch = &mut leaders[usize::from(world.draw() % 2 == 0)];
+            let switch = &mut leaders[usize::from(world.draw().is_multiple_of(2))];
             let observed = world.observed();
             if switch.is_ready(world.now_ms, &observed) {
                 switch.start(world.now_ms, map());
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use currantlink_core::switch::{Action, Order};
+use currantlink_core::switch::{Action, ExpertMap, Order};
 use currantlink_platform::names;
 use http::HeaderName;
 use serde::Deserialize;
@@ -362,11 +362,11 @@
     expect: Option<u64>,
     version: Option<u64>,
     step: Option<u64>,
-    map: Option<Vec<Vec<Vec<u32>>>>,
+    map: Option<ExpertMap>,
 }
 
 impl RawOrder {
-    fn read(self) -> Option<(Order, Option<Vec<Vec<Vec<u32>>>>)> {
+    fn read(self) -> Option<(Order, Option<ExpertMap>)> {
         let action = match self.op.as_str() {
             "prepare" => {
                 let map = Arc::new(self.map.clone()?);
