Name the failed backend of every lost request, test explain

Change: they are logged without counting against the backend; a wait that ran out counts as a failure. Checked: daemon tests gateway, belief, leaders and cli explain pass.

--- /dev/null
+++ b/cli/tests/explain.rs
@@ -0,0 +1,64 @@
+//! `explain` finds a request in the logs of all processes and names its cause.
+//!
+//! The lines are those of `currantlink-bench platform --faults`.
+
+#![allow(clippy::unwrap_used)]
+
+use std::process::Command;
+
+const GATEWAY_0: &str = r#"2026-12-03T23:18:38.184Z INFO currantlink_daemon::serve msg="request placed" request=once-308 route=once backend=plain-0 load=0 report_age_ms=None candidates=2 queue_limit=280 tried=0 config_version=1
+2026-12-03T23:18:38.185Z INFO currantlink_daemon::serve msg="attempt failed" request=once-308 backend=plain-0 error="connection closed early" after_ms=1
+2026-12-03T23:18:38.185Z INFO currantlink_daemon::serve msg="attempt ended" request=once-308 outcome=unknown next=give-up sends=1
+2026-12-03T23:18:38.185Z INFO currantlink_daemon::serve msg="request rejected" request=once-308 outcome=answer-lost status=502 after_ms=1
+not a line of a log
+2026-12-03T23:18:39.001Z INFO currantlink_daemon::serve msg="request rejected" request=stream-9 outcome="not-run: full" status=503 after_ms=0
+"#;
+const GATEWAY_1: &str = r#"2026-12-03T23:18:38.900Z INFO currantlink_daemon::serve msg="request placed" request=stream-9 route=resumable backend=model-2 load=3 report_age_ms=41 candidates=4 queue_limit=9 tried=0 config_version=1
+2026-12-03T23:18:40.210Z INFO currantlink_daemon::serve msg="request placed" request=stream-10 route=resumable backend=model-1 load=7 report_age_ms=12 candidates=4 queue_limit=9 tried=0 config_version=1
+2026-12-03T23:18:41.720Z INFO currantlink_daemon::serve msg="request served" request=stream-10 backend=model-1 status=200 after_ms=1510
+"#;
+
+fn explain(request: &str) -> (bool, String, String) {
+    let directory = tempfile::tempdir().unwrap();
+    let files = [("gateway-0.log", GATEWAY_0), ("gateway-1.log", GATEWAY_1)];
+    let paths = files.map(|(name, text)| {
+        let path = directory.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    });
+    let mut command = Command::new(env!("CARGO_BIN_EXE_currantlink"));
+    let output = command.args(["explain", request]).args(paths).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.success(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn lost_answer() {
+    let (success, out, _) = explain("once-308");
+    assert!(success && out.lines().count() == 5, "{out}");
+    let cause = "cause: may have run; lost with backend plain-0 (connection closed early)";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
+#[test]
+fn two_logs() {
+    let (_, out, _) = explain("stream-9");
+    let lines: Vec<&str> = out.lines().collect();
+    assert!(lines[0].contains("request placed") && lines[1].contains("request rejected"), "{out}");
+    assert_eq!(lines[2], "cause: not run; every backend had its slots and queue full");
+}
+
+#[test]
+fn late_answer() {
+    let (_, out, _) = explain("stream-10");
+    let cause = "cause: served after 1510 ms by model-1, which had 7 requests when it was placed \
+                 (report of 12 ms before)";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
+#[test]
+fn unknown_request() {
+    let (success, _, err) = explain("nothing");
+    assert!(!success);
+    assert_eq!(err, "currantlink: no log tells of request \"nothing\"\n");
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -423,14 +423,19 @@
         let reading = Self::own_answer(call, &mut upstream, &head, body);
         let read = match tokio::time::timeout_at(call.until, reading).await {
             Ok(read) => read,
-            Err(_) => return Attempt::Ended(Outcome::Unknown),
+            Err(_) => {
+                let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
+                self.attempt_failed(call, key, &error.into());
+                return Attempt::Ended(Outcome::Unknown);
+            }
         };
         let (head, facts) = match read {
             Ok(answer) => answer,
             Err(error) => {
                 // An idle connection that the backend closes in this moment says nothing of it.
-                if !reused {
-                    self.attempt_failed(call, key, &error);
+                match reused {
+                    true => self.log_failure(call, key, &error),
+                    false => self.attempt_failed(call, key, &error),
                 }
                 return Attempt::Ended(Outcome::Unknown);
             }
@@ -660,6 +665,10 @@
     /// Notes that a backend failed a request.
     pub fn attempt_failed(&self, call: &Call, key: FleetKey, error: &UpstreamError) {
         self.learned.borrow_mut().health.failed(now_ms(), key);
+        self.log_failure(call, key, error);
+    }
+
+    fn log_failure(&self, call: &Call, key: FleetKey, error: &UpstreamError) {
         let belief = self.belief.load();
         let backend = belief.fleet.get(key).map_or("", |member| member.id.as_str());
         let after_ms = call.arrived.elapsed().as_millis() as u64;
