--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -6,37 +6,46 @@
 /// Choices of a set below which its rates say little.
 const MIN_CHOICES: f64 = 2_000.0;
 
+/// Turns a rank's counts since its start into choices since the reading before.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    last: Vec<u64>,
+}
+
+impl Meter {
+    /// Takes a reading; returns the choices since the one before. Nothing at first, and where the
+    /// rank was started anew, which lets it count less than before.
+    pub fn read(&mut self, counts: Vec<u64>) -> Option<Vec<u64>> {
+        let same_life = self.last.len() == counts.len()
+            && self.last.iter().zip(&counts).all(|(before, after)| before <= after);
+        let choices = counts.iter().zip(&self.last).map(|(after, before)| after - before);
+        let choices = same_life.then(|| choices.collect());
+        self.last = counts;
+        choices
+    }
+}
+
 /// Recent choices by set and expert.
 #[derive(Clone, Debug)]
 pub struct Demand {
-    sets: usize,
     experts: usize,
     rates: Vec<f64>,
-    last: Vec<Option<Vec<u64>>>,
     decayed_ms: u64,
 }
 
 impl Demand {
-    /// Starts with no choice seen, for a group of `ranks` ranks.
-    pub fn new(ranks: usize, sets: usize, experts: usize) -> Self {
-        let rates = vec![0.0; sets * experts];
-        Self { sets, experts, rates, last: vec![None; ranks], decayed_ms: 0 }
+    /// Starts with no choice seen.
+    pub fn new(sets: usize, experts: usize) -> Self {
+        Self { experts, rates: vec![0.0; sets * experts], decayed_ms: 0 }
     }
 
-    /// Takes the counts of one rank since its start. A rank that counts less than before was started
-    /// anew.
-    pub fn count(&mut self, now_ms: u64, rank: usize, counts: &[u64]) {
-        if counts.len() != self.rates.len() || rank >= self.last.len() {
+    /// Adds the choices of one rank since its reading before.
+    pub fn add(&mut self, now_ms: u64, choices: &[u64]) {
+        if choices.len() != self.rates.len() {
             return;
         }
         self.decay(now_ms);
-        let last = self.last[rank].replace(counts.to_vec());
-        let Some(last) = last.filter(|last| last.iter().zip(counts).all(|(a, b)| a <= b)) else {
-            return;
-        };
-        for (rate, (after, before)) in self.rates.iter_mut().zip(counts.iter().zip(&last)) {
-            *rate += (after - before) as f64;
-        }
+        self.rates.iter_mut().zip(choices).for_each(|(rate, &count)| *rate += count as f64);
     }
 
     /// Returns the recent choices by set and expert, where there are enough to plan with.
@@ -44,7 +53,7 @@
         let sets: Vec<Vec<f64>> =
             self.rates.chunks(self.experts.max(1)).map(<[_]>::to_vec).collect();
         let enough = |set: &Vec<f64>| set.iter().sum::<f64>() >= MIN_CHOICES;
-        (sets.len() == self.sets && sets.iter().all(enough)).then_some(sets)
+        sets.iter().all(enough).then_some(sets)
     }
 
     fn decay(&mut self, now_ms: u64) {
--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -28,8 +28,8 @@
 pub const STATE_LIFE_MS: u64 = 400;
 /// Time after which an order without visible effect is sent again.
 pub const RESEND_MS: u64 = 150;
-/// Time after which a map that is not yet prepared is sent again: about that of a copy.
-pub const RESEND_PREPARE_MS: u64 = 500;
+/// Time after which a map is sent again to a rank that has begun to copy it but does not report it.
+pub const RESEND_PREPARE_MS: u64 = 2_000;
 /// Time after which a map that some rank does not get prepared is given up.
 pub const PREPARE_LIMIT_MS: u64 = 8_000;
 
@@ -378,13 +378,12 @@
                 continue;
             };
             let number = observed.state.orders;
-            let pause_ms = match action {
-                Action::Prepare { .. } => RESEND_PREPARE_MS,
-                _ => RESEND_MS,
-            };
             let repeated = self.sent[rank].as_ref().is_some_and(|sent| {
-                let is_same = sent.action == action && now_ms < sent.at_ms + pause_ms;
-                is_same && (sent.orders == number || pause_ms == RESEND_PREPARE_MS)
+                // A rank that has begun an order since is copying the experts of the map.
+                let is_copying = matches!(action, Action::Prepare { .. }) && number > sent.orders;
+                let pause_ms = if is_copying { RESEND_PREPARE_MS } else { RESEND_MS };
+                let is_same = sent.action == action && (is_copying || sent.orders == number);
+                is_same && now_ms < sent.at_ms + pause_ms
             });
             if repeated || now_ms > observed.at_ms + STATE_LIFE_MS {
                 continue;
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::demand::Meter;
 use currantlink_core::routes::{ExpertFigures, RouteTable};
 use currantlink_core::switch::{Action, Order, RankState};
 use currantlink_platform::engine::{EngineState, HeldExperts};
@@ -22,9 +23,9 @@
 use crate::conductor::{Conductor, Leader, Report, Way};
 use crate::deployed::{self, AgentSettings};
 use crate::error::DaemonError;
-use crate::orders;
+use crate::orders::{self, Versioned};
 use crate::peers::Peers;
-use crate::rank::RankClient;
+use crate::rank::{RankClient, RankError};
 use crate::reload::Reload;
 use crate::stop::StopSignals;
 use crate::watcher::{self, Update};
@@ -33,6 +34,9 @@
 const POLL: Duration = Duration::from_millis(80);
 /// The same while a map change is under way, of which each step waits for a state.
 const BUSY_POLL: Duration = Duration::from_millis(20);
+/// Time between two readings of the expert counts: a report that has them fills a packet, and demand
+/// is remembered for less than a second.
+const COUNT_EVERY_MS: u64 = 150;
 /// Time after the last order for which a change is taken to be under way.
 const BUSY_MS: u64 = 300;
 /// Time between two signs of life of a leader.
@@ -55,8 +59,8 @@
 const STALLED_MS: u64 = 400;
 
 enum Event {
-    /// The backend's state, counts and experts.
-    Polled { state: EngineState, counts: Vec<u64>, experts: Vec<Vec<u32>> },
+    /// The backend's state; its experts and choices where they were read with it.
+    Polled { state: EngineState, choices: Vec<u64>, experts: Vec<Vec<u32>> },
     /// A rank whose agent is silent.
     Remote(SocketAddr, RankState),
     /// Its experts.
@@ -131,11 +135,15 @@
     wake: Arc<Notify>,
     busy_until_ms: Arc<std::sync::atomic::AtomicU64>,
 ) {
-    let mut client = RankClient::new(backend);
-    let mut known: Option<(u64, u64, Vec<Vec<u32>>)> = None;
+    let mut reader = Reader {
+        client: RankClient::new(backend),
+        held: None,
+        meter: Meter::default(),
+        counted_ms: 0,
+    };
     let mut failing = false;
     loop {
-        match read(&mut client, &mut known).await {
+        match reader.read().await {
             Ok(event) => {
                 if std::mem::take(&mut failing) {
                     log::info!(dependency = "backend"; "regained");
@@ -160,24 +168,40 @@
     }
 }
 
-async fn read(
-    client: &mut RankClient,
-    known: &mut Option<(u64, u64, Vec<Vec<u32>>)>,
-) -> Result<Event, crate::rank::RankError> {
-    let state = client.report().await?;
-    let Some(rank) = &state.rank else {
-        return Ok(Event::Polled { state, counts: Vec::new(), experts: Vec::new() });
-    };
-    let counts = client.counts().await?.counts;
-    let current = |(epoch, version, _): &(u64, u64, Vec<Vec<u32>>)| {
-        (*epoch, *version) == (rank.epoch, rank.map_version)
-    };
-    if !known.as_ref().is_some_and(current) {
-        let held = client.held().await?;
-        *known = Some((rank.epoch, held.map_version, held.experts));
+/// Reads a backend.
+struct Reader {
+    client: RankClient,
+    held: Option<(u64, HeldExperts)>,
+    meter: Meter,
+    counted_ms: u64,
+}
+
+impl Reader {
+    async fn read(&mut self) -> Result<Event, RankError> {
+        let state = self.client.report().await?;
+        let (mut choices, mut experts) = (Vec::new(), Vec::new());
+        if let Some(rank) = &state.rank
+            && now_ms() >= self.counted_ms + COUNT_EVERY_MS
+        {
+            self.counted_ms = now_ms();
+            let counts = self.client.counts().await?.counts;
+            choices = self.meter.read(counts).unwrap_or_default();
+            experts = self.experts(rank).await?;
+        }
+        Ok(Event::Polled { state, choices, experts })
+    }
+
+    /// The experts of the map in use; none where it changed meanwhile.
+    async fn experts(&mut self, rank: &RankState) -> Result<Vec<Vec<u32>>, RankError> {
+        let is_current = |(epoch, held): &(u64, HeldExperts)| {
+            (*epoch, held.map_version) == (rank.epoch, rank.map_version)
+        };
+        if !self.held.as_ref().is_some_and(is_current) {
+            self.held = Some((rank.epoch, self.client.held().await?));
+        }
+        let held = self.held.as_ref().filter(|held| is_current(held));
+        Ok(held.map(|(_, held)| held.experts.clone()).unwrap_or_default())
     }
-    let experts = known.clone().filter(current).map(|(_, _, experts)| experts).unwrap_or_default();
-    Ok(Event::Polled { state, counts, experts })
 }
 
 struct Agent {
@@ -197,6 +221,8 @@
     givers: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
     /// Last pass and when it was first seen.
     progress: (u64, u64),
+    last_map: Option<Versioned>,
+    maps_sent: IndexMap<SocketAddr, Versioned>,
 }
 
 impl Agent {
@@ -223,6 +249,8 @@
             load_sent: None,
             givers: IndexMap::new(),
             progress: (0, 0),
+            last_map: None,
+            maps_sent: IndexMap::new(),
         }
     }
 
@@ -244,7 +272,9 @@
 
     async fn happened(&mut self, event: Event) {
         match event {
-            Event::Polled { state, counts, experts } => self.polled(state, counts, experts).await,
+            Event::Polled { state, choices, experts } => {
+                self.polled(state, choices, experts).await;
+            }
             Event::Remote(backend, state) => {
                 let Some(conductor) = &mut self.conductor else {
                     return;
@@ -266,14 +296,14 @@
         }
     }
 
-    async fn polled(&mut self, state: EngineState, counts: Vec<u64>, experts: Vec<Vec<u32>>) {
+    async fn polled(&mut self, state: EngineState, choices: Vec<u64>, experts: Vec<Vec<u32>>) {
         self.tell_load(&state).await;
         let Some(rank) = state.rank else {
             return;
         };
         self.rank = Some(rank.clone());
         let backend = self.settings.backend;
-        let report = Report { state: rank, counts, experts, backend };
+        let report = Report { state: rank, choices, experts, backend };
         if let Some(conductor) = &mut self.conductor {
             let own = self.settings.common.link();
             conductor.heard(now_ms(), own, report);
@@ -338,10 +368,13 @@
             }
             Some(peer_message::Body::Command(command)) => {
                 let own = self.rank.as_ref().is_some_and(|own| own.group == command.group);
-                match orders::decode_order(command) {
-                    Some(order) if own => self.execute(order, self.settings.backend),
+                match orders::decode_order(command, self.last_map.as_ref()) {
+                    Some(order) if own => {
+                        self.remember_map(&order);
+                        self.execute(order, self.settings.backend);
+                    }
                     Some(_) => {}
-                    None => log::warn!("order without an action"),
+                    None => log::info!(leader:% = from; "order names a map that is not known"),
                 }
             }
             _ => {}
@@ -391,7 +424,8 @@
                     self.execute(order, self.settings.backend);
                 }
                 Way::Agent(agent) => {
-                    let command = orders::encode_order(&group, &order);
+                    let base = self.base_for(agent, &order);
+                    let command = orders::encode_order(&group, &order, base.as_ref());
                     self.peers.send_all([agent], peer_message::Body::Command(command)).await;
                 }
                 Way::Backend(backend) => self.execute(order, backend),
@@ -399,6 +433,23 @@
         }
     }
 
+    /// Keeps the map of an order, to which the next may be a difference.
+    fn remember_map(&mut self, order: &Order) {
+        if let Action::Prepare { version, map } = &order.action {
+            self.last_map = Some((*version, Arc::clone(map)));
+        }
+    }
+
+    /// The map that an agent was sent last, for the first sending of another one: a whole map does
+    /// not fit a packet where groups are large. What is sent again is sent whole.
+    fn base_for(&mut self, agent: SocketAddr, order: &Order) -> Option<Versioned> {
+        let Action::Prepare { version, map } = &order.action else {
+            return None;
+        };
+        let sent = self.maps_sent.insert(agent, (*version, Arc::clone(map)));
+        sent.filter(|(sent, _)| sent != version)
+    }
+
     async fn tick(&mut self) {
         self.peers.greet(Hello::default).await;
         let now = now_ms();
@@ -490,6 +541,7 @@
         let (size, own) = (rank.size as usize, rank.rank as usize);
         self.conductor = Some(Conductor::new(now_ms(), fence, size, own, figures));
         self.leader = None;
+        self.maps_sent.clear();
         self.lead_sent_ms = 0;
     }
 
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -40,8 +40,8 @@
 pub struct Report {
     /// The rank's state.
     pub state: RankState,
-    /// Counts of choices since its start; empty where not read.
-    pub counts: Vec<u64>,
+    /// Choices of each expert since the report before that had them; empty where not read.
+    pub choices: Vec<u64>,
     /// Experts by set of the map in use; empty where not known.
     pub experts: Vec<Vec<u32>>,
     /// Its backend.
@@ -68,7 +68,7 @@
             figures,
             states: vec![None; size],
             ranks: vec![Rank::default(); size],
-            demand: Demand::new(size, figures.sets, figures.experts),
+            demand: Demand::new(figures.sets, figures.experts),
             rest_until_ms: 0,
             started_ms: now_ms,
             looked_ms: 0,
@@ -98,7 +98,7 @@
             rank.experts = report.experts;
             rank.experts_version = Some(report.state.map_version);
         }
-        self.demand.count(now_ms, index, &report.counts);
+        self.demand.add(now_ms, &report.choices);
         self.states[index] = Some(Observed { state: report.state, at_ms: now_ms });
     }
 
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -3,14 +3,20 @@
 use std::net::{AddrParseError, SocketAddr};
 use std::sync::Arc;
 
-use currantlink_core::switch::{Action, Order, RankState};
-use currantlink_wire::peers::{Arming, Command, ExpertSet, Experts, Prepare, RankReport, command};
+use currantlink_core::switch::{Action, ExpertMap, Order, RankState};
+use currantlink_wire::peers::{
+    Arming, Command, ExpertSet, Experts, Prepare, RankChange, RankReport, command,
+};
 
 use crate::conductor::Report;
 
+/// A map and its version.
+pub type Versioned = (u64, Arc<ExpertMap>);
+
 /// Writes a report.
 pub fn encode_report(report: Report) -> RankReport {
     let state = report.state;
+    let choices_shift = shift(&report.choices);
     RankReport {
         backend_address: report.backend.to_string(),
         group: state.group,
@@ -25,12 +31,20 @@
         armed: state.armed.map(|(version, step)| Arming { version, step }),
         held_step: state.held_step,
         busy: state.busy,
-        counts: report.counts,
+        choices_shift,
+        choices: report.choices.into_iter().map(|count| count >> choices_shift).collect(),
         experts: report.experts.into_iter().map(|experts| Experts { experts }).collect(),
-        highest_fence: 0,
     }
 }
 
+/// Shift that lets the greatest choice fit one byte of a message, so that a report of some thousand
+/// experts fits a packet.
+fn shift(choices: &[u64]) -> u32 {
+    const ONE_BYTE_BITS: u32 = 7;
+    let greatest = choices.iter().copied().max().unwrap_or(0);
+    (u64::BITS - greatest.leading_zeros()).saturating_sub(ONE_BYTE_BITS)
+}
+
 /// Reads a report.
 ///
 /// # Errors
@@ -53,17 +67,16 @@
         busy: report.busy,
     };
     let experts = report.experts.into_iter().map(|set| set.experts).collect();
-    Ok(Report { state, counts: report.counts, experts, backend })
+    let unshifted = |count: u64| count.checked_shl(report.choices_shift).unwrap_or(0);
+    let choices = report.choices.into_iter().map(unshifted).collect();
+    Ok(Report { state, choices, experts, backend })
 }
 
-/// Writes an order.
-pub fn encode_order(group: &str, order: &Order) -> Command {
+/// Writes an order; a map as its difference to `base`, where that is given.
+pub fn encode_order(group: &str, order: &Order, base: Option<&Versioned>) -> Command {
     let action = match &order.action {
         Action::Prepare { version, map } => {
-            let rank = |experts: &Vec<u32>| Experts { experts: experts.clone() };
-            let set = |set: &Vec<Vec<u32>>| ExpertSet { ranks: set.iter().map(rank).collect() };
-            let sets = map.iter().map(set).collect();
-            command::Action::Prepare(Prepare { version: *version, sets })
+            command::Action::Prepare(encode_map(*version, map, base))
         }
         &Action::Arm { version, step } => command::Action::Arm(Arming { version, step }),
         &Action::Hold { step } => command::Action::HoldStep(step),
@@ -79,12 +92,45 @@
     }
 }
 
-/// Reads an order; nothing where it has no action.
-pub fn decode_order(command: Command) -> Option<Order> {
+fn encode_map(version: u64, map: &ExpertMap, base: Option<&Versioned>) -> Prepare {
+    let Some((base_version, base)) = base else {
+        let rank = |experts: &Vec<u32>| Experts { experts: experts.clone() };
+        let set = |set: &Vec<Vec<u32>>| ExpertSet { ranks: set.iter().map(rank).collect() };
+        let sets = map.iter().map(set).collect();
+        return Prepare { version, sets, ..Prepare::default() };
+    };
+    let mut changes = Vec::new();
+    for (index, (new, old)) in map.iter().zip(base.iter()).enumerate() {
+        let pairs = new.iter().zip(old).enumerate();
+        let changed = pairs.filter(|(_, (new, old))| new != old).map(|(rank, (new, _))| {
+            RankChange { set: index as u32, rank: rank as u32, experts: new.clone() }
+        });
+        changes.extend(changed);
+    }
+    Prepare { version, base_version: *base_version, changes, ..Prepare::default() }
+}
+
+/// Reads a map; nothing where it is the difference to one that is not `base`.
+fn decode_map(prepare: Prepare, base: Option<&Versioned>) -> Option<ExpertMap> {
+    if !prepare.sets.is_empty() {
+        let set = |set: ExpertSet| set.ranks.into_iter().map(|rank| rank.experts).collect();
+        return Some(prepare.sets.into_iter().map(set).collect());
+    }
+    let (version, base) = base?;
+    let mut map = (*version == prepare.base_version).then(|| base.as_ref().clone())?;
+    for RankChange { set, rank, experts } in prepare.changes {
+        *map.get_mut(set as usize)?.get_mut(rank as usize)? = experts;
+    }
+    Some(map)
+}
+
+/// Reads an order; nothing where it has no action, or a map as the difference to one that is not
+/// known.
+pub fn decode_order(command: Command, base: Option<&Versioned>) -> Option<Order> {
     let action = match command.action? {
-        command::Action::Prepare(Prepare { version, sets }) => {
-            let set = |set: ExpertSet| set.ranks.into_iter().map(|rank| rank.experts).collect();
-            Action::Prepare { version, map: Arc::new(sets.into_iter().map(set).collect()) }
+        command::Action::Prepare(prepare) => {
+            let version = prepare.version;
+            Action::Prepare { version, map: Arc::new(decode_map(prepare, base)?) }
         }
         command::Action::Arm(Arming { version, step }) => Action::Arm { version, step },
         command::Action::HoldStep(step) => Action::Hold { step },
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -598,8 +598,20 @@
                     "request placed");
                 Ok(key)
             }
-            Choice::Full { .. } => Err(self.not_run(call, NotRunReason::Full)),
-            Choice::Forming => Err(self.not_run(call, NotRunReason::Forming)),
+            Choice::Full { excess } => {
+                let least_load = candidates.iter().map(Candidate::load).min();
+                log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
+                    least_load, slots, queue_limit, excess, candidates = candidates.len(),
+                    returned = call.returned, config_version = call.table.version();
+                    "backends full");
+                Err(self.not_run(call, NotRunReason::Full))
+            }
+            Choice::Forming => {
+                let ages = candidates.iter().filter_map(|c| c.report).map(|r| r.age_ms(now));
+                log::info!(request = call.attempt_id.as_str(), candidates = candidates.len(),
+                    report_age_ms = ages.max(); "groups stand still");
+                Err(self.not_run(call, NotRunReason::Forming))
+            }
             Choice::Nobody if tried.is_empty() => Err(self.not_run(call, NotRunReason::NoBackend)),
             Choice::Nobody => Err(self.not_run(call, NotRunReason::RefusedByBackends)),
         }
