--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -68,25 +68,34 @@
     Nobody,
 }
 
-/// Picks the least loaded backend that has no more than `queue_limit` requests beyond its slots.
-/// `draw` is uniform and breaks ties.
+/// Picks the least loaded backend that has no more than `queue_limit` requests beyond its slots. One
+/// that failed of late gets the request only where all others are full. `draw` is uniform and breaks
+/// ties.
 pub fn choose(candidates: &[Candidate], queue_limit: u32, draw: u64) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.serves);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
     if usable.is_empty() {
         return if candidates.is_empty() { Choice::Nobody } else { Choice::Forming };
     }
+    let (suspended, sound): (Vec<&Candidate>, Vec<&Candidate>) =
+        usable.into_iter().partition(|c| c.suspended);
+    let best = [least_loaded(&sound, draw), least_loaded(&suspended, draw)];
+    let has_room = |c: &&Candidate| c.load() < c.slots + queue_limit;
+    if let Some(best) = best.into_iter().flatten().find(has_room) {
+        return Choice::Send(best.key);
+    }
+    let excess = |c: &Candidate| c.load() + 1 - c.slots - queue_limit;
+    let excess = best.into_iter().flatten().map(excess).min();
+    excess.map_or(Choice::Nobody, |excess| Choice::Full { excess })
+}
+
+fn least_loaded<'a>(candidates: &[&'a Candidate], draw: u64) -> Option<&'a Candidate> {
     let relative = |c: &Candidate| f64::from(c.load()) / f64::from(c.slots.max(1));
     let shuffled = |index: usize| (index as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ draw;
-    let best = usable.iter().enumerate().min_by(|(i, a), (j, b)| {
-        let by_health = a.suspended.cmp(&b.suspended);
+    let ranked = candidates.iter().enumerate().min_by(|(i, a), (j, b)| {
         let by_load = relative(a).total_cmp(&relative(b));
         let by_domain = b.local.cmp(&a.local);
-        by_health.then(by_load).then(by_domain).then(shuffled(*i).cmp(&shuffled(*j)))
+        by_load.then(by_domain).then(shuffled(*i).cmp(&shuffled(*j)))
     });
-    match best {
-        Some((_, best)) if best.load() < best.slots + queue_limit => Choice::Send(best.key),
-        Some((_, best)) => Choice::Full { excess: best.load() + 1 - best.slots - queue_limit },
-        None => Choice::Nobody,
-    }
+    ranked.map(|(_, best)| *best)
 }
--- a/core/tests/spread.rs
+++ b/core/tests/spread.rs
@@ -43,6 +43,15 @@
     assert_eq!(choose(&[bad], 1, 0), Choice::Send(FleetKey(1)), "better than nobody");
 }
 
+#[test]
+fn sound_ones_full() {
+    // Seen in a log of the load tool: a request was refused beside an idle backend.
+    let bad = Candidate { suspended: true, ..candidate(1, 0) };
+    assert_eq!(choose(&[bad, reported(2, 4, 1, 0)], 1, 0), Choice::Send(FleetKey(1)));
+    let all_full = [Candidate { suspended: true, ..reported(1, 4, 3, 0) }, reported(2, 4, 1, 0)];
+    assert_eq!(choose(&all_full, 1, 0), Choice::Full { excess: 1 });
+}
+
 #[test]
 fn ties_spread() {
     let all: Vec<Candidate> = (0..4).map(|key| candidate(key, 0)).collect();
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -89,9 +89,9 @@
         (slot.running, slot.sent_at_ms.len() as u32)
     }
 
-    /// Returns the connections that a backend has of this process.
-    pub fn connections(&self, key: FleetKey) -> u32 {
-        self.0.borrow().get(&key).map_or(0, |slot| slot.running + slot.idle.len() as u32)
+    /// Returns the requests that a backend has of this process, each on a connection of its own.
+    pub fn running(&self, key: FleetKey) -> u32 {
+        self.0.borrow().get(&key).map_or(0, |slot| slot.running)
     }
 
     /// Closes idle connections whose time has passed, and forgets backends for which `known` does
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -561,19 +561,24 @@
         let domain = settings.common.failure_domain();
         let candidates = belief.fleet.open(&pool.name).filter(|(key, _)| !tried.contains(key));
         let candidates = candidates.filter(|(key, _)| !learned.misplaced.contains(key));
+        let mut capped = false;
+        let candidates = candidates.filter(|&(key, _)| {
+            let has_room = self.pool.running(key) < cap.max(1);
+            capped |= !has_room;
+            has_room
+        });
         let candidates = candidates.map(|(key, member)| {
             let report = self.loads.get(member.said.address);
             let report = report.filter(|r| r.age_ms(now) < REPORT_LIFE_MS);
             let (own, own_since_report) = self.pool.load(key, report.map_or(now, |r| r.at_ms));
             let suspended = learned.health.is_ejected(now, key);
-            let full = self.pool.connections(key) >= cap.max(1) && own >= cap.max(1);
             Candidate {
                 key,
                 slots: member.said.slots,
                 own,
                 own_since_report,
                 report,
-                suspended: suspended || full,
+                suspended,
                 local: member.said.failure_domain == domain,
             }
         });
@@ -612,6 +617,7 @@
                     report_age_ms = ages.max(); "groups stand still");
                 Err(self.not_run(call, NotRunReason::Forming))
             }
+            Choice::Nobody if capped => Err(self.not_run(call, NotRunReason::Full)),
             Choice::Nobody if tried.is_empty() => Err(self.not_run(call, NotRunReason::NoBackend)),
             Choice::Nobody => Err(self.not_run(call, NotRunReason::RefusedByBackends)),
         }
