Split serving into attempts and placing, and the agent's readings and orders from it

Change: attempts.rs (sends a request until one backend answers), placing.rs (picks a backend or says when to come back), readings.rs, giving.rs. Nothing else is changed. Checked: daemon tests gateway, belief and leaders pass.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use currantlink_core::demand::Meter;
 use currantlink_core::routes::{ExpertFigures, RouteTable};
 use currantlink_core::switch::{Action, Order, RankState};
 use currantlink_platform::engine::{EngineState, HeldExperts};
@@ -23,20 +23,15 @@
 use crate::conductor::{Conductor, Leader, Report, Way};
 use crate::deployed::{self, AgentSettings};
 use crate::error::DaemonError;
+use crate::giving;
 use crate::orders::{self, Versioned};
 use crate::peers::Peers;
-use crate::rank::{RankClient, RankError};
+use crate::rank::RankClient;
+use crate::readings::{self, POLL, Reading};
 use crate::reload::Reload;
 use crate::stop::StopSignals;
 use crate::watcher::{self, Update};
 
-/// Time between two reads of the backend's state, which cost nothing from its own machine.
-const POLL: Duration = Duration::from_millis(80);
-/// The same while a map change is under way, of which each step waits for a state.
-const BUSY_POLL: Duration = Duration::from_millis(20);
-/// Time between two readings of the expert counts: a report that has them fills a packet, and demand
-/// is remembered for less than a second.
-const COUNT_EVERY_MS: u64 = 150;
 /// Time after the last order for which a change is taken to be under way.
 const BUSY_MS: u64 = 300;
 /// Time between two signs of life of a leader.
@@ -52,15 +47,11 @@
 /// Time between two messages of an unchanged load.
 const LOAD_EVERY_MS: u64 = 240;
 
-/// Times that an order is sent while it is not answered.
-const MAX_SENDS: u32 = 6;
 /// Time without a new pass after which a backend with requests is taken as stalled: a pass takes
 /// some tens of milliseconds.
 const STALLED_MS: u64 = 400;
 
 enum Event {
-    /// The backend's state; its experts and choices where they were read with it.
-    Polled { state: EngineState, choices: Vec<u64>, experts: Vec<Vec<u32>> },
     /// A rank whose agent is silent.
     Remote(SocketAddr, RankState),
     /// Its experts.
@@ -100,8 +91,9 @@
     tokio::spawn(watcher::follow_peers(common.store, own, updates));
     let (events, mut happened) = mpsc::unbounded_channel();
     let wake = Arc::new(Notify::new());
-    let busy = Arc::new(std::sync::atomic::AtomicU64::new(0));
-    tokio::spawn(poll(settings.backend, events.clone(), Arc::clone(&wake), Arc::clone(&busy)));
+    let busy = Arc::new(AtomicU64::new(0));
+    let (readings, mut read) = mpsc::unbounded_channel();
+    tokio::spawn(readings::poll(settings.backend, readings, Arc::clone(&wake), Arc::clone(&busy)));
     let mut agent = Agent::new(settings, peers, events, wake, busy);
     let mut tick = tokio::time::interval(POLL);
     loop {
@@ -114,6 +106,7 @@
             },
             Some(update) = queue.recv() => agent.update(update),
             Some(event) = happened.recv() => agent.happened(event).await,
+            Some(reading) = read.recv() => agent.read(reading).await,
             received = agent.peers.receive() => match received {
                 Ok((from, message)) => agent.heard(from, message).await,
                 Err(error) => {
@@ -128,88 +121,12 @@
     Ok(())
 }
 
-/// Reads the backend's state again and again.
-async fn poll(
-    backend: SocketAddr,
-    events: mpsc::UnboundedSender<Event>,
-    wake: Arc<Notify>,
-    busy_until_ms: Arc<std::sync::atomic::AtomicU64>,
-) {
-    let mut reader = Reader {
-        client: RankClient::new(backend),
-        held: None,
-        meter: Meter::default(),
-        counted_ms: 0,
-    };
-    let mut failing = false;
-    loop {
-        match reader.read().await {
-            Ok(event) => {
-                if std::mem::take(&mut failing) {
-                    log::info!(dependency = "backend"; "regained");
-                }
-                if events.send(event).is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                if !failing {
-                    log::warn!(dependency = "backend", error:% = error; "lost");
-                }
-                failing = true;
-            }
-        }
-        let busy = now_ms() < busy_until_ms.load(std::sync::atomic::Ordering::Relaxed);
-        let pause = tokio::time::sleep(if busy { BUSY_POLL } else { POLL });
-        tokio::select! {
-            () = pause => {}
-            () = wake.notified() => {}
-        }
-    }
-}
-
-/// Reads a backend.
-struct Reader {
-    client: RankClient,
-    held: Option<(u64, HeldExperts)>,
-    meter: Meter,
-    counted_ms: u64,
-}
-
-impl Reader {
-    async fn read(&mut self) -> Result<Event, RankError> {
-        let state = self.client.report().await?;
-        let (mut choices, mut experts) = (Vec::new(), Vec::new());
-        if let Some(rank) = &state.rank
-            && now_ms() >= self.counted_ms + COUNT_EVERY_MS
-        {
-            self.counted_ms = now_ms();
-            let counts = self.client.counts().await?.counts;
-            choices = self.meter.read(counts).unwrap_or_default();
-            experts = self.experts(rank).await?;
-        }
-        Ok(Event::Polled { state, choices, experts })
-    }
-
-    /// The experts of the map in use; none where it changed meanwhile.
-    async fn experts(&mut self, rank: &RankState) -> Result<Vec<Vec<u32>>, RankError> {
-        let is_current = |(epoch, held): &(u64, HeldExperts)| {
-            (*epoch, held.map_version) == (rank.epoch, rank.map_version)
-        };
-        if !self.held.as_ref().is_some_and(is_current) {
-            self.held = Some((rank.epoch, self.client.held().await?));
-        }
-        let held = self.held.as_ref().filter(|held| is_current(held));
-        Ok(held.map(|(_, held)| held.experts.clone()).unwrap_or_default())
-    }
-}
-
 struct Agent {
     settings: AgentSettings,
     peers: Peers,
     events: mpsc::UnboundedSender<Event>,
     wake: Arc<Notify>,
-    busy_until_ms: Arc<std::sync::atomic::AtomicU64>,
+    busy_until_ms: Arc<AtomicU64>,
     table: Option<RouteTable>,
     rank: Option<RankState>,
     leader: Option<Leader>,
@@ -231,7 +148,7 @@
         peers: Peers,
         events: mpsc::UnboundedSender<Event>,
         wake: Arc<Notify>,
-        busy_until_ms: Arc<std::sync::atomic::AtomicU64>,
+        busy_until_ms: Arc<AtomicU64>,
     ) -> Self {
         Self {
             settings,
@@ -272,9 +189,6 @@
 
     async fn happened(&mut self, event: Event) {
         match event {
-            Event::Polled { state, choices, experts } => {
-                self.polled(state, choices, experts).await;
-            }
             Event::Remote(backend, state) => {
                 let Some(conductor) = &mut self.conductor else {
                     return;
@@ -296,7 +210,7 @@
         }
     }
 
-    async fn polled(&mut self, state: EngineState, choices: Vec<u64>, experts: Vec<Vec<u32>>) {
+    async fn read(&mut self, Reading { state, choices, experts }: Reading) {
         self.tell_load(&state).await;
         let Some(rank) = state.rank else {
             return;
@@ -398,11 +312,11 @@
     /// Has an order given to a backend, after which the own one's state is read at once.
     fn execute(&mut self, order: Order, backend: SocketAddr) {
         let until = now_ms() + BUSY_MS;
-        self.busy_until_ms.store(until, std::sync::atomic::Ordering::Relaxed);
+        self.busy_until_ms.store(until, Ordering::Relaxed);
         let wake = Arc::clone(&self.wake);
         let giver = self.givers.entry(backend).or_insert_with(|| {
             let (orders, queue) = mpsc::unbounded_channel();
-            tokio::spawn(give(backend, queue, wake));
+            tokio::spawn(giving::give(backend, queue, wake));
             orders
         });
         if giver.send(order).is_err() {
@@ -551,38 +465,3 @@
         pools.iter().find_map(|pool| pool.engine.as_ref().and_then(|engine| engine.experts))
     }
 }
-
-/// Gives orders to one backend, one after the other. One that is not answered is sent again until a
-/// newer one is to be given.
-async fn give(backend: SocketAddr, mut orders: mpsc::UnboundedReceiver<Order>, wake: Arc<Notify>) {
-    let mut client = RankClient::new(backend);
-    while let Some(order) = orders.recv().await {
-        let (action, fence) = (name(&order.action), order.fence);
-        for sends in 1..=MAX_SENDS {
-            match client.order(&order).await {
-                Ok(outcome) => {
-                    log::info!(action, fence, backend:% = backend, sends, outcome:% = outcome;
-                        "order given");
-                    break;
-                }
-                Err(error) if sends == MAX_SENDS || !orders.is_empty() => {
-                    log::info!(action, fence, backend:% = backend, sends, error:% = error;
-                        "order not answered");
-                    break;
-                }
-                Err(error) => log::debug!(action, error:% = error; "order is sent again"),
-            }
-        }
-        wake.notify_one();
-    }
-}
-
-fn name(action: &Action) -> &'static str {
-    match action {
-        Action::Prepare { .. } => "prepare",
-        Action::Arm { .. } => "arm",
-        Action::Disarm { .. } => "disarm",
-        Action::Hold { .. } => "hold",
-        Action::Go { .. } => "go",
-    }
-}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! control state and a pool of threads for traffic. All decisions are those of `currantlink-core`.
 
 pub mod agent;
+pub mod attempts;
 pub mod backend;
 pub mod belief;
 pub mod call;
@@ -18,6 +19,7 @@
 pub mod error;
 pub mod gatekeeper;
 pub mod gateway;
+pub mod giving;
 pub mod groups;
 pub mod ingress;
 pub mod leader;
@@ -28,9 +30,11 @@
 pub mod orders;
 pub mod outbound;
 pub mod peers;
+pub mod placing;
 pub mod platform;
 pub mod pool;
 pub mod rank;
+pub mod readings;
 pub mod recording;
 pub mod rejection;
 pub mod relayed;
--- a/daemon/src/relayed.rs
+++ b/daemon/src/relayed.rs
@@ -9,8 +9,9 @@
 use currantlink_core::routes::Repeat;
 use futures::Stream;
 
+use crate::attempts::{Answered, Started};
 use crate::outbound::EndsEarly;
-use crate::serve::{Answered, Call, Gateway, Started};
+use crate::serve::{Call, Gateway};
 use crate::upstream::{Framing, UpstreamError};
 
 /// A stream that is being passed on.
