--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -5,6 +5,38 @@
 /// Age after which a reported load says nothing.
 pub const REPORT_LIFE_MS: u64 = 1_000;
 
+/// Part of the target that is kept back from waiting: reading the prompt and the first step.
+const KEPT_BACK_MS: f64 = 120.0;
+/// Least queue at a backend, so that slots are filled again without a round trip.
+const LEAST_QUEUE: u32 = 1;
+/// Queue that a request which came back may join, against that of a new one: it is late already, and
+/// refused once more it is lost.
+const RETURNED_QUEUE: u32 = 2;
+/// Shortest and longest time after which a refused request comes back.
+const RETRY_AFTER_MS: (u64, u64) = (300, 1_500);
+/// The same while a group is being formed again, which takes seconds.
+const FORMING_RETRY_MS: (u64, u64) = (1_500, 2_500);
+/// Longest part of a caller's time left after which it is told to come back; beyond a third of it
+/// callers do not wait.
+const MAX_WAIT_SHARE: f64 = 0.3;
+
+/// Returns how many requests may wait at a backend, such that a new one still starts in time: a slot
+/// gets free each `mean_duration_ms` / `slots`.
+pub fn queue_limit(target_ms: u64, mean_duration_ms: f64, slots: u32, returned: bool) -> u32 {
+    let release_ms = (mean_duration_ms / f64::from(slots.max(1))).max(1.0);
+    let wait_ms = (target_ms as f64 - KEPT_BACK_MS).max(0.0);
+    let limit = ((wait_ms / release_ms) as u32).max(LEAST_QUEUE);
+    if returned { limit * RETURNED_QUEUE } else { limit }
+}
+
+/// Returns when a refused request is to come back. `draw` is uniform and spreads those that were
+/// refused together.
+pub fn retry_after_ms(is_forming: bool, left_ms: u64, draw: u64) -> u64 {
+    let (least_ms, most_ms) = if is_forming { FORMING_RETRY_MS } else { RETRY_AFTER_MS };
+    let spread_ms = least_ms + draw % (most_ms - least_ms + 1);
+    spread_ms.min((left_ms as f64 * MAX_WAIT_SHARE) as u64)
+}
+
 /// Load that a side reported of its backend.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
--- a/core/tests/spread.rs
+++ b/core/tests/spread.rs
@@ -1,7 +1,9 @@
 //! Requests go to the least loaded backend, and nowhere while all are full or their group is away.
 
 use currantlink_core::fleet::FleetKey;
-use currantlink_core::spread::{Candidate, Choice, LoadReport, choose};
+use currantlink_core::spread::{
+    Candidate, Choice, LoadReport, choose, queue_limit, retry_after_ms,
+};
 
 fn candidate(key: u32, own: u32) -> Candidate {
     let (report, suspended, local) = (None, false, true);
@@ -76,3 +78,18 @@
     let report = LoadReport { active: 1, queued: 0, at_ms: 11, serves: true };
     assert_eq!((report.age_ms(10), report.age_ms(15)), (0, 4));
 }
+
+#[test]
+fn queue_by_target() {
+    assert_eq!(queue_limit(400, 1_200.0, 12, false), 2, "a slot each 100 ms, 280 ms to wait");
+    assert_eq!(queue_limit(400, 1_200.0, 12, true), 4);
+    assert_eq!(queue_limit(100, 30.0, 6, false), 1, "no time to wait");
+}
+
+#[test]
+fn spread_return() {
+    let times: Vec<u64> = (0..5_000).map(|draw| retry_after_ms(false, 8_000, draw)).collect();
+    assert_eq!((times.iter().min(), times.iter().max()), (Some(&300), Some(&1_500)));
+    assert!((0..5_000).all(|draw| retry_after_ms(true, 8_000, draw) >= 1_500));
+    assert!((0..5_000).all(|draw| retry_after_ms(true, 1_000, draw) <= 300), "callers do not wait");
+}
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -73,7 +73,7 @@
 
 /// Time after which a request may find a configuration. Gateways read it within this time of their
 /// start.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
+pub const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
 
 impl Rejection {
     /// Returns the status that says this.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -24,9 +24,8 @@
 use crate::clock::now_ms;
 use crate::deployed::GatewaySettings;
 use crate::outbound::Outbound;
-use crate::placing;
 use crate::pool::Pool;
-use crate::rejection::{NotRunReason, Rejection};
+use crate::rejection::{CONFIGURATION_WAIT, NotRunReason, Rejection};
 use crate::relayed::{self, Relayed};
 use crate::upstream::UpstreamError;
 
@@ -223,7 +222,7 @@
         let service = table.pick(admitted.route, rand::random());
         let service = service.ok_or(Rejection::NotRun {
             reason: NotRunReason::NoBackend,
-            retry_after: placing::LEAST_RETRY_AFTER,
+            retry_after: CONFIGURATION_WAIT,
         })?;
         let limit_ms = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let until = arrived + Duration::from_millis(limit_ms);
