Reset connections of requests that are given up

Bytes held up by a dead link stay in the socket after an ordinary close and are delivered when the link is back. Ruled out: a repeat by the gateway (it had closed the connection when the client left). Change: a connection that is dropped with its request under way is reset, which discards what is held up. daemon/tests/upstream.rs given_up fails without it. Also tests of all framings and early ends.

--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -76,6 +76,20 @@
     stream: TcpStream,
     buffer: BytesMut,
     is_sent: bool,
+    /// A request is on its way and its answer has not ended.
+    is_busy: bool,
+}
+
+impl Drop for Upstream {
+    /// Resets a connection whose request is given up: bytes that are still on their way must not
+    /// reach the backend later, when nobody waits for the answer.
+    fn drop(&mut self) {
+        if self.is_busy
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::debug!(error:% = error; "connection is not reset");
+        }
+    }
 }
 
 impl Upstream {
@@ -86,7 +100,7 @@
     /// Fails where the backend refuses or does not answer in time; nothing was sent then.
     pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = sockets::connect(address, limit).await?;
-        Ok(Self { stream, buffer: BytesMut::new(), is_sent: true })
+        Ok(Self { stream, buffer: BytesMut::new(), is_sent: true, is_busy: false })
     }
 
     /// Returns whether the connection is open, nothing unread has arrived on it and the last
@@ -106,6 +120,7 @@
     /// request then.
     pub async fn exchange(&mut self, head: &[u8], body: &[u8]) -> Result<Head, UpstreamError> {
         self.is_sent = false;
+        self.is_busy = true;
         let (mut read, mut write) = self.stream.split();
         let sending = async {
             if head.len() + body.len() <= READ_BYTES {
@@ -159,7 +174,10 @@
     pub async fn body(&mut self, framing: &mut Framing) -> Result<Option<Bytes>, UpstreamError> {
         loop {
             match *framing {
-                Framing::Done => return Ok(None),
+                Framing::Done => {
+                    self.is_busy = false;
+                    return Ok(None);
+                }
                 Framing::Length(0) => *framing = Framing::Done,
                 Framing::Length(left) if !self.buffer.is_empty() => {
                     let piece = self.take(left);
