Change expert maps in half the time, and limit requests where pauses allow

Cause: on the grown site streams are late by their pauses (median of the longest 165 ms against 120), not by their start: a pass took 100 ms at a skew of 2.28. Of a change's 0.8 s, 76 ms per expert were copying; 190 ms passed from its end to the next plan (the planner's time at 0.15 of a core, the map rebuilt at each message, ranks' experts told every 150 ms only), up to 200 ms until the held pass.

Change: the planner looks only at ranks that a copy changes; the planned map is known at once; the map in use is put together once; no rest after a change; the held pass is as far ahead as arming takes; demand is remembered for 300 ms; unchanged rank reports are not repeated. core/pace.rs: running requests limited by the pauses of recent streams.

Conclusion: the copies and the first 300 ms after a shift are what is left.

--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -2,7 +2,7 @@
 
 /// Time after which a choice counts for 1/e. Demand of the users' days moves every few seconds, and
 /// a second holds some hundred thousand choices.
-const MEMORY_MS: f64 = 700.0;
+const MEMORY_MS: f64 = 300.0;
 /// Choices of a set below which its rates say little.
 const MIN_CHOICES: f64 = 2_000.0;
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod loads;
 pub mod map;
 pub mod offer;
+pub mod pace;
 pub mod plan;
 pub mod prefix;
 pub mod queue;
--- a/core/src/rebalance.rs
+++ b/core/src/rebalance.rs
@@ -14,8 +14,8 @@
 const COPY_SLOWDOWN: f64 = 0.15;
 /// Time that a plan is judged over. Demand of the users' days stays for about this long.
 const HORIZON_MS: f64 = 3_000.0;
-/// Time of a change besides the copying: holding, arming and the next plan.
-const SWITCH_MS: f64 = 300.0;
+/// Time of a change besides the copying: seeing it done, holding, arming and the next plan.
+const SWITCH_MS: f64 = 150.0;
 /// Least gain of a plan over staying, as a share of the pass time; below it orders cost more.
 const LEAST_GAIN: f64 = 0.02;
 /// Most experts that a plan brings to one rank.
@@ -81,8 +81,11 @@
     /// Experts of each rank in the map that is in use.
     present: Vec<Vec<u32>>,
     rates: Vec<f64>,
-    replicas: Vec<u32>,
+    /// Ranks of each expert.
+    holders: Vec<Vec<usize>>,
     loads: Vec<f64>,
+    /// Weights of the loads.
+    weights: Vec<f64>,
     mean: f64,
     new_per_rank: Vec<usize>,
 }
@@ -139,21 +142,19 @@
         let set = &self.sets[index];
         let fullest = set.fullest()?;
         let mut best: Option<(f64, Copy)> = None;
-        for &(expert, _) in &set.ranks[fullest] {
-            for rank in 0..set.ranks.len() {
-                let has_room = self.new_per_rank[rank] < copies
-                    && set.new_per_rank[rank] < self.figures.new_per_set;
-                if !has_room || set.holds(rank, expert) {
+        for rank in (0..set.ranks.len()).filter(|&rank| self.has_room(set, rank, copies)) {
+            let replaced = match set.ranks[rank].len() < self.figures.slots_per_rank {
+                true => None,
+                false => match set.dispensable(rank) {
+                    Some(index) => Some(index),
+                    None => continue,
+                },
+            };
+            for &(expert, _) in &set.ranks[fullest] {
+                let copy = Copy { set: index, rank, expert, replaced };
+                if set.holds(rank, expert) {
                     continue;
                 }
-                let replaced = match set.ranks[rank].len() < self.figures.slots_per_rank {
-                    true => None,
-                    false => match set.dispensable(rank) {
-                        Some(index) => Some(index),
-                        None => continue,
-                    },
-                };
-                let copy = Copy { set: index, rank, expert, replaced };
                 let gain = set.gain(copy);
                 if gain > best.map_or(1e-9, |(gain, _)| gain) {
                     best = Some((gain, copy));
@@ -163,6 +164,10 @@
         best
     }
 
+    fn has_room(&self, set: &Set, rank: usize, copies: usize) -> bool {
+        self.new_per_rank[rank] < copies && set.new_per_rank[rank] < self.figures.new_per_set
+    }
+
     fn make(&mut self, copy: Copy) {
         let is_new = !self.sets[copy.set].present[copy.rank].contains(&copy.expert);
         self.new_per_rank[copy.rank] += usize::from(is_new);
@@ -173,9 +178,9 @@
 impl Set {
     fn new(map: &[Vec<u32>], rates: &[f64]) -> Self {
         let ranks = map.iter().map(|rank| rank.iter().map(|&e| (e, false)).collect()).collect();
-        let mut replicas = vec![0; rates.len()];
-        for &expert in map.iter().flatten() {
-            replicas[expert as usize] += 1;
+        let mut holders = vec![Vec::new(); rates.len()];
+        for (rank, experts) in map.iter().enumerate() {
+            experts.iter().for_each(|&expert| holders[expert as usize].push(rank));
         }
         let total: f64 = rates.iter().sum();
         let mean = (total / map.len().max(1) as f64).max(f64::MIN_POSITIVE);
@@ -183,8 +188,9 @@
             ranks,
             present: map.to_vec(),
             rates: rates.to_vec(),
-            replicas,
+            holders,
             loads: vec![0.0; map.len()],
+            weights: vec![0.0; map.len()],
             mean,
             new_per_rank: vec![0; map.len()],
         };
@@ -195,11 +201,21 @@
     fn recount(&mut self) {
         for rank in 0..self.ranks.len() {
             self.loads[rank] = self.ranks[rank].iter().map(|&(e, _)| self.share(e)).sum();
+            self.weights[rank] = self.weight(self.loads[rank]);
         }
     }
 
     fn share(&self, expert: u32) -> f64 {
-        self.rates[expert as usize] / f64::from(self.replicas[expert as usize].max(1))
+        self.share_among(expert, self.replicas(expert).max(1))
+    }
+
+    /// Load of one of `replicas` replicas.
+    fn share_among(&self, expert: u32, replicas: usize) -> f64 {
+        self.rates[expert as usize] / replicas as f64
+    }
+
+    fn replicas(&self, expert: u32) -> usize {
+        self.holders[expert as usize].len()
     }
 
     fn skew(&self) -> f64 {
@@ -211,14 +227,14 @@
     }
 
     fn holds(&self, rank: usize, expert: u32) -> bool {
-        self.ranks[rank].iter().any(|&(e, _)| e == expert)
+        self.holders[expert as usize].contains(&rank)
     }
 
     /// Expert of a rank that has other replicas and adds least load; never one that is new.
     fn dispensable(&self, rank: usize) -> Option<usize> {
         let experts = self.ranks[rank].iter().enumerate();
-        let usable = experts.filter(|&(_, &(e, is_new))| !is_new && self.replicas[e as usize] > 1);
-        let harm = |e: u32| self.rates[e as usize] / f64::from(self.replicas[e as usize] - 1);
+        let usable = experts.filter(|&(_, &(e, is_new))| !is_new && self.replicas(e) > 1);
+        let harm = |e: u32| self.share_among(e, self.replicas(e) - 1);
         usable.min_by(|(_, a), (_, b)| harm(a.0).total_cmp(&harm(b.0))).map(|(index, _)| index)
     }
 
@@ -226,39 +242,43 @@
         (load / self.mean).powi(SHARPNESS)
     }
 
-    /// Fall of the potential by a copy.
+    /// Fall of the potential by a copy. Only ranks with one of the two experts change.
     fn gain(&self, copy: Copy) -> f64 {
+        let new = copy.expert;
         let old = copy.replaced.map(|index| self.ranks[copy.rank][index].0);
-        let replicas = |e: u32| f64::from(self.replicas[e as usize]);
-        let rate = |e: u32| self.rates[e as usize];
-        let new_share = rate(copy.expert) / (replicas(copy.expert) + 1.0);
-        let new_shift = new_share - self.share(copy.expert);
-        let old_shift = old.map_or(0.0, |e| rate(e) / (replicas(e) - 1.0) - self.share(e));
-        let mut gain = 0.0;
-        for rank in 0..self.ranks.len() {
-            let shift = if rank == copy.rank {
-                new_share - old.map_or(0.0, |e| self.share(e))
-            } else {
-                let loses = if self.holds(rank, copy.expert) { new_shift } else { 0.0 };
-                loses + old.filter(|&e| self.holds(rank, e)).map_or(0.0, |_| old_shift)
-            };
-            if shift != 0.0 {
-                gain += self.weight(self.loads[rank]) - self.weight(self.loads[rank] + shift);
+        let new_share = self.share_among(new, self.replicas(new) + 1);
+        let new_shift = new_share - self.share(new);
+        let old_share = old.map_or(0.0, |e| self.share(e));
+        let old_shift = old.map_or(0.0, |e| self.share_among(e, self.replicas(e) - 1) - old_share);
+        let old_holders = old.map_or(&[][..], |e| &self.holders[e as usize]);
+        let mut gain = self.fall(copy.rank, new_share - old_share);
+        for &rank in &self.holders[new as usize] {
+            let gets = if old_holders.contains(&rank) { old_shift } else { 0.0 };
+            gain += self.fall(rank, new_shift + gets);
+        }
+        for &rank in old_holders {
+            if rank != copy.rank && !self.holds(rank, new) {
+                gain += self.fall(rank, old_shift);
             }
         }
         gain
     }
 
+    /// Fall of the potential where the load of a rank changes.
+    fn fall(&self, rank: usize, shift: f64) -> f64 {
+        self.weights[rank] - self.weight(self.loads[rank] + shift)
+    }
+
     fn make(&mut self, copy: Copy, is_new: bool) {
         let slot = (copy.expert, is_new);
         match copy.replaced {
             Some(index) => {
                 let (old, _) = std::mem::replace(&mut self.ranks[copy.rank][index], slot);
-                self.replicas[old as usize] -= 1;
+                self.holders[old as usize].retain(|&rank| rank != copy.rank);
             }
             None => self.ranks[copy.rank].push(slot),
         }
-        self.replicas[copy.expert as usize] += 1;
+        self.holders[copy.expert as usize].push(copy.rank);
         self.new_per_rank[copy.rank] += usize::from(is_new);
         self.recount();
     }
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -36,6 +36,16 @@
         matches!(self, Repeat::Stream { .. } | Repeat::ResumableStream { .. })
     }
 
+    /// Returns the longest pause between the events of a stream that is on time.
+    pub fn gap_target_ms(self) -> Option<u64> {
+        match self {
+            Repeat::Stream { gap_target_ms } | Repeat::ResumableStream { gap_target_ms } => {
+                Some(gap_target_ms)
+            }
+            Repeat::Idempotent | Repeat::AtMostOnce => None,
+        }
+    }
+
     /// Returns whether a request that may have run may be sent again.
     pub fn may_run_again(self) -> bool {
         matches!(self, Repeat::Idempotent | Repeat::ResumableStream { .. })
--- a/core/src/spread.rs
+++ b/core/src/spread.rs
@@ -84,6 +84,22 @@
     }
 }
 
+/// Requests that a backend may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests that run at once, where fewer than the backend's slots.
+    pub running: Option<u32>,
+    /// Requests that wait where all slots are used.
+    pub queued: u32,
+}
+
+impl Limits {
+    fn of(self, candidate: &Candidate) -> u32 {
+        let whole = candidate.slots + self.queued;
+        self.running.filter(|&running| running < candidate.slots).unwrap_or(whole)
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -100,10 +116,9 @@
     Nobody,
 }
 
-/// Picks the least loaded backend that has no more than `queue_limit` requests beyond its slots. One
-/// that failed of late gets the request only where all others are full. `draw` is uniform and breaks
-/// ties.
-pub fn choose(candidates: &[Candidate], queue_limit: u32, draw: u64) -> Choice {
+/// Picks the least loaded backend that is within its limits. One that failed of late gets the request
+/// only where all others are full. `draw` is uniform and breaks ties.
+pub fn choose(candidates: &[Candidate], limits: Limits, draw: u64) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.serves);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
     if usable.is_empty() {
@@ -112,11 +127,11 @@
     let (suspended, sound): (Vec<&Candidate>, Vec<&Candidate>) =
         usable.into_iter().partition(|c| c.suspended);
     let best = [least_loaded(&sound, draw), least_loaded(&suspended, draw)];
-    let has_room = |c: &&Candidate| c.load() < c.slots + queue_limit;
+    let has_room = |c: &&Candidate| c.load() < limits.of(c);
     if let Some(best) = best.into_iter().flatten().find(has_room) {
         return Choice::Send(best.key);
     }
-    let excess = |c: &Candidate| c.load() + 1 - c.slots - queue_limit;
+    let excess = |c: &Candidate| c.load() + 1 - limits.of(c);
     let excess = best.into_iter().flatten().map(excess).min();
     excess.map_or(Choice::Nobody, |excess| Choice::Full { excess })
 }
--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -19,11 +19,14 @@
 
 use derive_more::Display;
 
-/// Least passes between the observation and the pass that is held. Arming takes one exchange with the
-/// sides of all ranks, a few milliseconds each way; a pass takes tens of milliseconds.
-pub const LEAD_PASSES: u64 = 2;
-/// Most passes between the observation and the pass that is held.
+/// Most passes between the observation and the pass that is held: passes of a few milliseconds with
+/// the first time of arming.
 pub const MAX_LEAD_PASSES: u64 = 12;
+/// Time from the decision to hold a pass until all ranks are armed, before one was measured: two
+/// exchanges with agents, each read every 20 ms.
+const FIRST_ARMING_MS: f64 = 40.0;
+/// Weight of a new time of arming in the mean.
+const ARMING_SMOOTHING: f64 = 0.3;
 /// Age after which a rank's state is not used for an order.
 pub const STATE_LIFE_MS: u64 = 400;
 /// Time after which an order without visible effect is sent again.
@@ -192,7 +195,11 @@
     changes: u64,
     sent: Vec<Option<Sent>>,
     ended: Option<Ended>,
-    lead_passes: u64,
+    /// Mean time from the decision to hold a pass until all ranks are armed.
+    arming_ms: f64,
+    hold_at_ms: u64,
+    /// First pass seen of the preparation, and when, to tell how long passes take.
+    prepare_began: Option<(u64, u64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -216,7 +223,9 @@
             changes: 0,
             sent: vec![None; size],
             ended: None,
-            lead_passes: LEAD_PASSES,
+            arming_ms: FIRST_ARMING_MS,
+            hold_at_ms: 0,
+            prepare_began: None,
         }
     }
 
@@ -238,7 +247,7 @@
     /// Returns whether a change may start: all ranks are known, agree and have nothing under way.
     pub fn is_ready(&self, now_ms: u64, ranks: &[Option<Observed>]) -> bool {
         self.phase == Phase::Idle
-            && self.whole(now_ms, ranks).is_some_and(|all| all.iter().all(quiet))
+            && self.whole(now_ms, ranks).is_some_and(|all| all.into_iter().all(quiet))
     }
 
     /// Starts a change to `map`; only where `is_ready`. Returns its version, which no other leader
@@ -246,6 +255,7 @@
     pub fn start(&mut self, now_ms: u64, map: Arc<ExpertMap>) -> u64 {
         let version = self.next_version();
         self.enter(now_ms, Phase::Prepare { version });
+        self.prepare_began = None;
         self.map = Some(map);
         version
     }
@@ -286,13 +296,16 @@
         };
         let begun = all.iter().map(|o| o.state.step).max().unwrap_or(0);
         let held = all.iter().find_map(|o| o.state.held_step);
+        if matches!(self.phase, Phase::Prepare { .. }) {
+            self.prepare_began.get_or_insert((begun, now_ms));
+        }
         let next = match self.phase {
             Phase::Idle | Phase::Prepare { .. } if held.is_some() => {
                 held.and_then(|step| self.take_over(step, &all))
             }
             Phase::Idle => None,
             Phase::Prepare { version } if all.iter().all(|o| has_prepared(o, version)) => {
-                Some(Phase::Hold { version, step: begun + self.lead_passes })
+                Some(Phase::Hold { version, step: begun + self.lead_passes(now_ms, begun) })
             }
             Phase::Prepare { .. } => return self.expire(now_ms),
             Phase::Recover { .. } if held.is_none() => {
@@ -310,7 +323,7 @@
                 held.and_then(|step| self.take_over(step, &all))
             }
             Phase::Hold { version, step } if begun >= step => {
-                Some(Phase::Hold { version, step: begun + self.lead_passes })
+                Some(Phase::Hold { version, step: begun + self.lead_passes(now_ms, begun) })
             }
             Phase::Hold { .. } => None,
             Phase::Arm { version, step } if are_armed(&all, version, step) => {
@@ -330,8 +343,10 @@
         };
         match next {
             Some(next) if next != self.phase => {
-                if let Phase::Go { step } = next {
-                    self.learn_lead(step, begun);
+                match (&self.phase, &next) {
+                    (_, Phase::Hold { .. }) => self.hold_at_ms = now_ms,
+                    (Phase::Arm { .. }, Phase::Go { .. }) => self.learn_arming(now_ms),
+                    _ => {}
                 }
                 self.enter(now_ms, next);
                 true
@@ -340,16 +355,22 @@
         }
     }
 
-    /// Where the group had to wait for the arming, the next pass is held from further ahead; where it
-    /// was armed early, from less far.
-    fn learn_lead(&mut self, step: u64, begun: u64) {
-        let waited = begun + 1 >= step;
-        let next = if waited { self.lead_passes * 2 } else { self.lead_passes - 1 };
-        self.lead_passes = next.clamp(LEAD_PASSES, MAX_LEAD_PASSES);
+    /// Passes until the one to hold: as many as begin while the ranks are armed. A hold that comes too
+    /// late is set again; one pass more would keep the old map in use for longer than the group waits.
+    fn lead_passes(&self, now_ms: u64, begun: u64) -> u64 {
+        let (first, first_ms) = self.prepare_began.unwrap_or((begun, now_ms));
+        let passes = begun.saturating_sub(first) as f64;
+        let elapsed_ms = now_ms.saturating_sub(first_ms).max(1) as f64;
+        ((self.arming_ms * passes / elapsed_ms).ceil() as u64).clamp(1, MAX_LEAD_PASSES)
+    }
+
+    fn learn_arming(&mut self, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(self.hold_at_ms) as f64;
+        self.arming_ms += ARMING_SMOOTHING * (took_ms - self.arming_ms);
     }
 
     /// What a group needs that another leader holds; nothing while the map in use is not known.
-    fn take_over(&mut self, step: u64, all: &[Observed]) -> Option<Phase> {
+    fn take_over(&mut self, step: u64, all: &[&Observed]) -> Option<Phase> {
         if let Some((version, _)) = all[0].state.armed
             && are_armed(all, version, step)
         {
@@ -432,12 +453,12 @@
     }
 
     /// The states of all ranks, where each is known, recent, open and of the newest epoch.
-    fn whole(&self, now_ms: u64, ranks: &[Option<Observed>]) -> Option<Vec<Observed>> {
+    fn whole<'a>(&self, now_ms: u64, ranks: &'a [Option<Observed>]) -> Option<Vec<&'a Observed>> {
         let usable = |o: &Observed| {
             let recent = now_ms <= o.at_ms + STATE_LIFE_MS;
             recent && o.state.is_open && o.state.epoch == self.epoch
         };
-        let states = ranks.iter().map(|o| o.clone().filter(|o| usable(o)));
+        let states = ranks.iter().map(|o| o.as_ref().filter(|o| usable(o)));
         states.collect::<Option<Vec<_>>>().filter(|all| !all.is_empty())
     }
 
@@ -459,7 +480,7 @@
     state.held_step.is_none() && state.armed.is_none() && !state.busy
 }
 
-fn are_armed(all: &[Observed], version: u64, step: u64) -> bool {
+fn are_armed(all: &[&Observed], version: u64, step: u64) -> bool {
     all.iter().all(|o| o.state.armed == Some((version, step)))
 }
 
--- /dev/null
+++ b/core/tests/pace.rs
@@ -0,0 +1,102 @@
+//! Engines run fewer requests at once where more would make all streams late.
+
+use currantlink_core::pace::{Pace, StreamPauses};
+use currantlink_core::routes::EngineFigures;
+
+const SLOTS: u32 = 10;
+const TARGET_MS: u64 = 120;
+const EVENTS: u32 = 23;
+const SHIFT_EVERY_MS: f64 = 2_400.0;
+const RUN_MS: f64 = 30_000.0;
+
+fn engine() -> EngineFigures {
+    EngineFigures {
+        slots: SLOTS,
+        stride_steps: 7,
+        step_ms: 4.84,
+        per_request_ms: 0.435,
+        read_tokens_per_ms: 74.8,
+        usual_prompt_tokens: 840.0,
+        usual_answer_tokens: 161.0,
+        experts: None,
+    }
+}
+
+#[derive(Default)]
+struct Stream {
+    events: u32,
+    longest_ms: f64,
+    total_ms: f64,
+    running: f64,
+}
+
+/// Worth of the answers of one engine with `per_s` requests a second, of which as many run as the
+/// limit says or its slots hold. Passes slow down by `slowest` for a quarter of each shift.
+fn worth(per_s: f64, slowest: f64, limited: bool) -> f64 {
+    let engine = engine();
+    let mut pace = Pace::default();
+    let (mut now_ms, mut asked, mut worth) = (0.0, 0.0, 0.0);
+    let mut running: Vec<Stream> = Vec::new();
+    while now_ms < RUN_MS {
+        let slow = now_ms % SHIFT_EVERY_MS < SHIFT_EVERY_MS / 4.0;
+        let factor = if slow { slowest } else { 1.0 };
+        let usual_ms = 7.0 * (engine.step_ms + engine.per_request_ms * running.len() as f64);
+        let pass_ms = usual_ms * factor;
+        now_ms += pass_ms;
+        for stream in &mut running {
+            stream.events += 1;
+            stream.longest_ms = stream.longest_ms.max(pass_ms);
+            stream.total_ms += pass_ms;
+        }
+        let count = running.len() as f64;
+        for stream in running.extract_if(.., |stream| stream.events == EVENTS) {
+            worth += if stream.longest_ms <= TARGET_MS as f64 { 1.0 } else { 0.5 };
+            let mean_ms = stream.total_ms / f64::from(EVENTS);
+            let pauses =
+                StreamPauses { longest_ms: stream.longest_ms, mean_ms, running: stream.running };
+            pace.ended(now_ms as u64, pauses, &engine);
+        }
+        asked += per_s * pass_ms / 1_000.0;
+        let limit = if limited { pace.limit(now_ms as u64, TARGET_MS, &engine) } else { SLOTS };
+        while asked >= 1.0 {
+            asked -= 1.0;
+            if running.len() < limit as usize {
+                running.push(Stream { running: count, ..Stream::default() });
+            }
+        }
+    }
+    worth
+}
+
+#[test]
+fn overload_served() {
+    for slowest in [1.9, 2.1, 2.3] {
+        let (limited, full) = (worth(6.0, slowest, true), worth(6.0, slowest, false));
+        assert!(limited > full, "slowed by {slowest}: {limited} against {full}");
+    }
+}
+
+#[test]
+fn light_load() {
+    for slowest in [1.0, 1.5, 2.3] {
+        let (limited, full) = (worth(2.0, slowest, true), worth(2.0, slowest, false));
+        assert!(limited >= full, "slowed by {slowest}: {limited} against {full}");
+    }
+}
+
+#[test]
+fn hopeless_pace() {
+    let mut pace = Pace::default();
+    let pauses = StreamPauses { longest_ms: 500.0, mean_ms: 400.0, running: 5.0 };
+    (0..50).for_each(|_| pace.ended(0, pauses, &engine()));
+    assert_eq!(pace.limit(1, TARGET_MS, &engine()), SLOTS, "late anyway: as many as can be");
+}
+
+#[test]
+fn old_pauses() {
+    let mut pace = Pace::default();
+    let pauses = StreamPauses { longest_ms: 115.0, mean_ms: 100.0, running: 5.0 };
+    (0..50).for_each(|_| pace.ended(0, pauses, &engine()));
+    assert_eq!(pace.limit(1, TARGET_MS, &engine()), 5);
+    assert_eq!(pace.limit(20_000, TARGET_MS, &engine()), SLOTS);
+}
--- a/core/tests/spread.rs
+++ b/core/tests/spread.rs
@@ -2,9 +2,13 @@
 
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::spread::{
-    Candidate, Choice, LoadReport, choose, queue_limit, retry_after_ms,
+    Candidate, Choice, Limits, LoadReport, choose, queue_limit, retry_after_ms,
 };
 
+fn queued(queued: u32) -> Limits {
+    Limits { running: None, queued }
+}
+
 fn candidate(key: u32, own: u32) -> Candidate {
     let (report, suspended, local) = (None, false, true);
     Candidate { key: FleetKey(key), slots: 4, own, own_since_report: 0, report, suspended, local }
@@ -19,39 +23,39 @@
 fn least_loaded() {
     let all = [reported(1, 3, 0, 0), reported(2, 1, 0, 0), reported(3, 1, 0, 1)];
     for draw in 0..50 {
-        assert_eq!(choose(&all, 1, draw), Choice::Send(FleetKey(2)));
+        assert_eq!(choose(&all, queued(1), draw), Choice::Send(FleetKey(2)));
     }
 }
 
 #[test]
 fn all_full() {
     let all = [reported(1, 4, 2, 0), reported(2, 4, 1, 0)];
-    assert_eq!(choose(&all, 1, 0), Choice::Full { excess: 1 });
-    assert_eq!(choose(&all, 2, 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose(&all, queued(1), 0), Choice::Full { excess: 1 });
+    assert_eq!(choose(&all, queued(2), 0), Choice::Send(FleetKey(2)));
 }
 
 #[test]
 fn group_away() {
     let mut away = reported(1, 0, 0, 0);
     away.report = away.report.map(|r| LoadReport { serves: false, ..r });
-    assert_eq!(choose(&[away], 1, 0), Choice::Forming);
-    assert_eq!(choose(&[away, candidate(2, 3)], 1, 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose(&[away], queued(1), 0), Choice::Forming);
+    assert_eq!(choose(&[away, candidate(2, 3)], queued(1), 0), Choice::Send(FleetKey(2)));
 }
 
 #[test]
 fn suspended_last() {
     let bad = Candidate { suspended: true, ..candidate(1, 0) };
-    assert_eq!(choose(&[bad, candidate(2, 3)], 1, 0), Choice::Send(FleetKey(2)));
-    assert_eq!(choose(&[bad], 1, 0), Choice::Send(FleetKey(1)), "better than nobody");
+    assert_eq!(choose(&[bad, candidate(2, 3)], queued(1), 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose(&[bad], queued(1), 0), Choice::Send(FleetKey(1)), "better than nobody");
 }
 
 #[test]
 fn sound_ones_full() {
     // Seen in a log of the load tool: a request was refused beside an idle backend.
     let bad = Candidate { suspended: true, ..candidate(1, 0) };
-    assert_eq!(choose(&[bad, reported(2, 4, 1, 0)], 1, 0), Choice::Send(FleetKey(1)));
+    assert_eq!(choose(&[bad, reported(2, 4, 1, 0)], queued(1), 0), Choice::Send(FleetKey(1)));
     let all_full = [Candidate { suspended: true, ..reported(1, 4, 3, 0) }, reported(2, 4, 1, 0)];
-    assert_eq!(choose(&all_full, 1, 0), Choice::Full { excess: 1 });
+    assert_eq!(choose(&all_full, queued(1), 0), Choice::Full { excess: 1 });
 }
 
 #[test]
@@ -60,7 +64,7 @@
     let mut hits = [0; 4];
     for draw in 0..4_000u64 {
         let mixed = draw.wrapping_mul(0x2545_F491_4F6C_DD1D);
-        if let Choice::Send(FleetKey(key)) = choose(&all, 1, mixed) {
+        if let Choice::Send(FleetKey(key)) = choose(&all, queued(1), mixed) {
             hits[key as usize] += 1;
         }
     }
@@ -69,7 +73,7 @@
 
 #[test]
 fn nobody() {
-    assert_eq!(choose(&[], 1, 0), Choice::Nobody);
+    assert_eq!(choose(&[], queued(1), 0), Choice::Nobody);
 }
 
 #[test]
@@ -93,3 +97,13 @@
     assert!((0..5_000).all(|draw| retry_after_ms(true, 8_000, draw) >= 1_500));
     assert!((0..5_000).all(|draw| retry_after_ms(true, 1_000, draw) <= 300), "callers do not wait");
 }
+
+#[test]
+fn fewer_running() {
+    let limits = Limits { running: Some(3), queued: 2 };
+    let all = [reported(1, 3, 0, 0), reported(2, 3, 0, 0)];
+    assert_eq!(choose(&all, limits, 0), Choice::Full { excess: 1 });
+    assert_eq!(choose(&[reported(1, 2, 0, 0)], limits, 0), Choice::Send(FleetKey(1)));
+    let limits = Limits { running: Some(4), queued: 2 };
+    assert_eq!(choose(&all, limits, 0), choose(&all, queued(2), 0), "all slots: no limit");
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -32,7 +32,8 @@
 use crate::stop::StopSignals;
 use crate::watcher::{self, Update};
 
-/// Time after the last order for which a change is taken to be under way.
+/// Time after the last order, or after a state that shows one, for which a change is taken to be
+/// under way.
 const BUSY_MS: u64 = 300;
 /// Time between two signs of life of a leader.
 const LEAD_EVERY_MS: u64 = 100;
@@ -134,6 +135,7 @@
     started_ms: u64,
     claimed_ms: u64,
     lead_sent_ms: u64,
+    report_sent_ms: u64,
     load_sent: Option<(u64, Load)>,
     givers: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
     /// Last pass and when it was first seen.
@@ -163,6 +165,7 @@
             started_ms: now_ms(),
             claimed_ms: 0,
             lead_sent_ms: 0,
+            report_sent_ms: 0,
             load_sent: None,
             givers: IndexMap::new(),
             progress: (0, 0),
@@ -215,6 +218,10 @@
         let Some(rank) = state.rank else {
             return;
         };
+        if rank.busy || rank.armed.is_some() || rank.held_step.is_some() {
+            self.busy_until_ms.store(now_ms() + BUSY_MS, Ordering::Relaxed);
+        }
+        let is_news = self.rank.as_ref() != Some(&rank) || !choices.is_empty();
         self.rank = Some(rank.clone());
         let backend = self.settings.backend;
         let report = Report { state: rank, choices, experts, backend };
@@ -222,7 +229,10 @@
             let own = self.settings.common.link();
             conductor.heard(now_ms(), own, report);
             self.conduct().await;
-        } else if let Some(leader) = self.leader {
+        } else if let Some(leader) = self.leader
+            && (is_news || now_ms() >= self.report_sent_ms + POLL.as_millis() as u64)
+        {
+            self.report_sent_ms = now_ms();
             let report: RankReport = orders::encode_report(report);
             self.peers.send_all([leader.address], peer_message::Body::RankReport(report)).await;
         }
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::outbound::Outbound;
+use crate::placing::Placed;
 use crate::pool::Claim;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::serve::{Call, Gateway};
@@ -37,6 +38,8 @@
     pub claim: Claim,
     /// Backend.
     pub key: FleetKey,
+    /// Requests that each backend of the service ran, on average, when this one was placed.
+    pub running: f64,
 }
 
 /// What became of sending a request.
@@ -96,13 +99,13 @@
             if call.left().is_zero() {
                 return Err(self.no_time(call, relay));
             }
-            let key = match self.place(call, tried) {
-                Ok(key) => key,
+            let placed = match self.place(call, tried) {
+                Ok(placed) => placed,
                 Err(_) if relay.may_have_run() => return Err(Rejection::AnswerLost),
                 Err(rejection) => return Err(rejection),
             };
-            tried.push(key);
-            let (outcome, failure) = match self.attempt(call, relay, key, last_event_id).await {
+            tried.push(placed.key);
+            let (outcome, failure) = match self.attempt(call, relay, placed, last_event_id).await {
                 Attempt::Answered(answered) => return Ok(Started::Answered(answered)),
                 Attempt::Ended(outcome) => (outcome, None),
                 Attempt::Failed(answered) => {
@@ -110,7 +113,7 @@
                     match self.collect(call, answered).await {
                         Ok(body) => (Outcome::Failed, Some(response(&head, Outbound::whole(body)))),
                         Err(error) => {
-                            self.attempt_failed(call, key, &error);
+                            self.attempt_failed(call, placed.key, &error);
                             (Outcome::Unknown, None)
                         }
                     }
@@ -135,9 +138,10 @@
         &self,
         call: &Call,
         relay: &mut Relay,
-        key: FleetKey,
+        placed: Placed,
         last_event_id: Option<u64>,
     ) -> Attempt {
+        let key = placed.key;
         let belief = self.belief.load();
         let Some(member) = belief.fleet.get(key) else {
             return Attempt::Ended(Outcome::NotConnected);
@@ -180,7 +184,8 @@
             }
         };
         let status = facts.status;
-        let answered = Box::new(Answered { head, facts, upstream, claim, key });
+        let answered =
+            Box::new(Answered { head, facts, upstream, claim, key, running: placed.running });
         match &answered.facts {
             facts if facts.not_run => {
                 let misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
--- a/daemon/src/conductor.rs
+++ b/daemon/src/conductor.rs
@@ -12,8 +12,6 @@
 const SILENT_MS: u64 = 350;
 /// Time between two reads of a rank whose agent is silent; they are priced.
 const REMOTE_EVERY_MS: u64 = 250;
-/// Time after a change before the next plan: the demand memory has to see the new map's time.
-const REST_MS: u64 = 100;
 
 /// What the leader knows of one rank.
 #[derive(Clone, Debug, Default)]
@@ -55,7 +53,10 @@
     states: Vec<Option<Observed>>,
     ranks: Vec<Rank>,
     demand: Demand,
-    rest_until_ms: u64,
+    /// Version and map in use, once every rank told its part.
+    in_use: Option<(u64, Arc<ExpertMap>)>,
+    /// Version and map of the last plan.
+    planned: Option<(u64, Arc<ExpertMap>)>,
     started_ms: u64,
     looked_ms: u64,
 }
@@ -69,7 +70,8 @@
             states: vec![None; size],
             ranks: vec![Rank::default(); size],
             demand: Demand::new(figures.sets, figures.experts),
-            rest_until_ms: 0,
+            in_use: None,
+            planned: None,
             started_ms: now_ms,
             looked_ms: 0,
         }
@@ -100,6 +102,7 @@
         }
         self.demand.add(now_ms, &report.choices);
         self.states[index] = Some(Observed { state: report.state, at_ms: now_ms });
+        self.take_planned(index);
     }
 
     /// Takes the state of a rank that was read from here.
@@ -108,6 +111,7 @@
         if let Some(slot) = self.states.get_mut(index) {
             *slot = Some(Observed { state, at_ms: now_ms });
             self.ranks[index].backend = Some(backend);
+            self.take_planned(index);
         }
     }
 
@@ -155,17 +159,14 @@
 
     /// Moves the change on, or starts one; returns the orders to give.
     pub fn advance(&mut self, now_ms: u64) -> Vec<(Way, Order)> {
-        if let Some(map) = self.map() {
-            self.switch.know(Arc::new(map));
-        }
+        self.learn_in_use();
         let mut orders = self.switch.advance(now_ms, &self.states);
         if let Some(ended) = self.switch.take_ended() {
             log::info!(fence = self.fence(), outcome:% = ended; "map change ended");
             metrics::counter!("currantlink_map_changes_total", "outcome" => ended.to_string())
                 .increment(1);
-            self.rest_until_ms = now_ms + REST_MS;
         }
-        if now_ms >= self.rest_until_ms && self.switch.is_ready(now_ms, &self.states) {
+        if self.switch.is_ready(now_ms, &self.states) {
             self.plan(now_ms);
             orders.extend(self.switch.advance(now_ms, &self.states));
         }
@@ -176,29 +177,61 @@
     }
 
     fn plan(&mut self, now_ms: u64) {
-        let (Some(map), Some(rates)) = (self.map(), self.demand.rates()) else {
+        let (Some(version), Some(rates)) = (self.version_in_use(), self.demand.rates()) else {
+            return;
+        };
+        let Some((_, map)) = self.in_use.as_ref().filter(|(known, _)| *known == version) else {
             return;
         };
-        let Some(plan) = rebalance::plan(&map, &rates, &self.figures) else {
+        let Some(plan) = rebalance::plan(map, &rates, &self.figures) else {
             return;
         };
         let (before, after, copies) = (plan.skew_before, plan.skew_after, plan.copies);
-        let version = self.switch.start(now_ms, Arc::new(plan.map.clone()));
+        let map = Arc::new(plan.map);
+        let version = self.switch.start(now_ms, Arc::clone(&map));
+        self.planned = Some((version, map));
         log::info!(version, copies, skew_before:% = format!("{before:.2}"),
             skew_after:% = format!("{after:.2}"), fence = self.fence(); "map change started");
     }
 
-    /// The map in use, where every rank told its part of the same version.
-    fn map(&self) -> Option<ExpertMap> {
+    /// Takes the planned map as that of a rank that uses it, before the rank tells its part.
+    fn take_planned(&mut self, index: usize) {
+        let uses = self.states[index].as_ref().map(|observed| observed.state.map_version);
+        let (Some((version, map)), Some(uses)) = (&self.planned, uses) else {
+            return;
+        };
+        let rank = &mut self.ranks[index];
+        if uses == *version && rank.experts_version != Some(uses) {
+            rank.experts = map.iter().map(|set| set[index].clone()).collect();
+            rank.experts_version = Some(uses);
+        }
+    }
+
+    /// Puts the map in use together where it is another one than before.
+    fn learn_in_use(&mut self) {
+        let version = self.version_in_use();
+        let is_known = self.in_use.as_ref().map(|(known, _)| *known) == version;
+        let (Some(version), false) = (version, is_known) else {
+            return;
+        };
+        let of_set = |set: usize| {
+            self.ranks.iter().map(|rank| rank.experts.get(set).cloned()).collect::<Option<Vec<_>>>()
+        };
+        let map: Option<ExpertMap> = (0..self.figures.sets).map(of_set).collect();
+        if let Some(map) = map.map(Arc::new) {
+            self.switch.know(Arc::clone(&map));
+            self.in_use = Some((version, map));
+        }
+    }
+
+    /// The version in use, where every rank told its part of the same one.
+    fn version_in_use(&self) -> Option<u64> {
         let version = self.states.first()?.as_ref()?.state.map_version;
         let agree = self.ranks.iter().zip(&self.states).all(|(rank, state)| {
             let uses = state.as_ref().map(|o| o.state.map_version);
             uses == Some(version) && rank.experts_version == Some(version)
         });
-        let of_set = |set: usize| {
-            self.ranks.iter().map(|rank| rank.experts.get(set).cloned()).collect::<Option<Vec<_>>>()
-        };
-        agree.then(|| (0..self.figures.sets).map(of_set).collect()).flatten()
+        agree.then_some(version)
     }
 
     fn way(&self, now_ms: u64, rank: usize) -> Option<Way> {
--- a/daemon/src/placing.rs
+++ b/daemon/src/placing.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use currantlink_core::fleet::FleetKey;
-use currantlink_core::spread::{self, Candidate, Choice, REPORT_LIFE_MS};
+use currantlink_core::pace::StreamPauses;
+use currantlink_core::spread::{self, Candidate, Choice, Limits, REPORT_LIFE_MS};
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
@@ -19,16 +20,27 @@
     capped: bool,
 }
 
+/// Where a request goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Placed {
+    /// The backend.
+    pub key: FleetKey,
+    /// Requests that each backend of the service runs, on average.
+    pub running: f64,
+}
+
 impl Gateway {
     /// Picks a backend that was not tried yet.
-    pub(crate) fn place(&self, call: &Call, tried: &[FleetKey]) -> Result<FleetKey, Rejection> {
+    pub(crate) fn place(&self, call: &Call, tried: &[FleetKey]) -> Result<Placed, Rejection> {
         let now = now_ms();
         let Field { candidates, capped } = self.field(call, tried, now);
         let slots = candidates.first().map_or(1, |candidate| candidate.slots);
         let target_ms = call.route().target_ms;
         let queue_limit =
             spread::queue_limit(target_ms, self.mean_duration_ms(call), slots, call.returned);
-        match spread::choose(&candidates, queue_limit, rand::random()) {
+        let limits = Limits { running: self.running_limit(call, now), queued: queue_limit };
+        let running_limit = limits.running;
+        match spread::choose(&candidates, limits, rand::random()) {
             Choice::Send(key) => {
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
                 let load = chosen.map(Candidate::load);
@@ -37,14 +49,14 @@
                 let backend = belief.fleet.get(key).map(|member| member.id.as_str());
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
-                    tried = tried.len(), config_version = call.table.version();
+                    running_limit, tried = tried.len(), config_version = call.table.version();
                     "request placed");
-                Ok(key)
+                Ok(Placed { key, running: mean_running(&candidates) })
             }
             Choice::Full { excess } => {
                 let least_load = candidates.iter().map(Candidate::load).min();
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
-                    least_load, slots, queue_limit, excess, candidates = candidates.len(),
+                    least_load, slots, queue_limit, running_limit, excess, candidates = candidates.len(),
                     returned = call.returned, config_version = call.table.version();
                     "backends full");
                 Err(self.not_run(call, NotRunReason::Full))
@@ -92,6 +104,25 @@
         field
     }
 
+    /// Requests that each engine is to run at once, such that streams are on time.
+    fn running_limit(&self, call: &Call, now: u64) -> Option<u32> {
+        let engine = call.pool().engine.as_ref()?;
+        let pause_target_ms = call.route().repeat.gap_target_ms()?;
+        let mut learned = self.learned.borrow_mut();
+        let pace = learned.paces.get_mut(&call.pool().name)?;
+        Some(pace.limit(now, pause_target_ms, engine))
+    }
+
+    /// Notes the pauses of a stream that was served.
+    pub(crate) fn stream_ended(&self, call: &Call, pauses: StreamPauses) {
+        let Some(engine) = &call.pool().engine else {
+            return;
+        };
+        let mut learned = self.learned.borrow_mut();
+        let pace = learned.paces.entry(call.pool().name.clone()).or_default();
+        pace.ended(now_ms(), pauses, engine);
+    }
+
     fn mean_duration_ms(&self, call: &Call) -> f64 {
         let learned = self.learned.borrow();
         learned.durations_ms.get(&call.pool().name).copied().unwrap_or(FIRST_DURATION_MS)
@@ -105,3 +136,8 @@
         Rejection::NotRun { reason, retry_after: Duration::from_millis(after_ms) }
     }
 }
+
+fn mean_running(candidates: &[Candidate]) -> f64 {
+    let running = candidates.iter().map(|c| c.load().min(c.slots));
+    f64::from(running.sum::<u32>()) / candidates.len().max(1) as f64
+}
--- a/daemon/src/relayed.rs
+++ b/daemon/src/relayed.rs
@@ -1,10 +1,12 @@
 //! A stream of events on its way to a caller, continued at another backend where it may be.
 
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use currantlink_core::events::EventSplitter;
 use currantlink_core::fleet::FleetKey;
+use currantlink_core::pace::StreamPauses;
 use currantlink_core::relay::{Next, Outcome, Relay};
 use currantlink_core::routes::Repeat;
 use futures::Stream;
@@ -14,6 +16,9 @@
 use crate::serve::{Call, Gateway};
 use crate::upstream::{Framing, UpstreamError};
 
+/// Pauses below which a stream is too short to tell how its backend keeps pace.
+const LEAST_PAUSES: u32 = 4;
+
 /// A stream that is being passed on.
 pub struct Relayed {
     gateway: Rc<Gateway>,
@@ -22,6 +27,16 @@
     tried: Vec<FleetKey>,
     splitter: EventSplitter,
     source: Option<Source>,
+    pauses: Option<Pauses>,
+}
+
+/// Pauses between the events of a stream from one backend.
+struct Pauses {
+    running: f64,
+    last: Option<Instant>,
+    longest: Duration,
+    total: Duration,
+    count: u32,
 }
 
 struct Source {
@@ -46,15 +61,19 @@
         answered: Box<Answered>,
     ) -> Self {
         let splitter = EventSplitter::new(call.ask.last_event_id);
+        let pauses = Some(Pauses::new(answered.running));
         let source = Some(Source::from(answered));
-        Self { gateway, call, relay, tried, splitter, source }
+        Self { gateway, call, relay, tried, splitter, source, pauses }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, EndsEarly>> {
         loop {
             let source = self.source.as_mut()?;
             match source.read(&self.call, &mut self.splitter).await {
-                Piece::Events(events) => return Some(Ok(events)),
+                Piece::Events(events) => {
+                    self.pauses.iter_mut().for_each(|pauses| pauses.event(Instant::now()));
+                    return Some(Ok(events));
+                }
                 Piece::End => {
                     self.finish();
                     return None;
@@ -74,6 +93,7 @@
     /// Has another backend go on after the last whole event; returns whether one does.
     async fn resume(&mut self) -> bool {
         self.source = None;
+        self.pauses = None;
         self.splitter.drop_partial();
         let resumable = matches!(self.call.route().repeat, Repeat::ResumableStream { .. });
         let next = self.relay.ended(Outcome::Unknown, || self.gateway.take_retry(&self.call));
@@ -104,6 +124,12 @@
             return;
         };
         self.gateway.succeeded(&self.call, source.answered.key, source.answered.head.status);
+        if let Some(pauses) = self.pauses.as_ref().and_then(Pauses::seen) {
+            log::info!(request = self.call.attempt_id.as_str(),
+                longest_pause_ms = pauses.longest_ms as u64, mean_pause_ms = pauses.mean_ms as u64,
+                running = pauses.running as u64; "stream ended");
+            self.gateway.stream_ended(&self.call, pauses);
+        }
         let Answered { head, facts, upstream, claim, .. } = *source.answered;
         self.gateway.keep(claim, upstream, &head, facts);
     }
@@ -118,6 +144,30 @@
     }
 }
 
+impl Pauses {
+    fn new(running: f64) -> Self {
+        Self { running, last: None, longest: Duration::ZERO, total: Duration::ZERO, count: 0 }
+    }
+
+    fn event(&mut self, now: Instant) {
+        if let Some(last) = self.last.replace(now) {
+            let pause = now - last;
+            self.longest = self.longest.max(pause);
+            self.total += pause;
+            self.count += 1;
+        }
+    }
+
+    fn seen(&self) -> Option<StreamPauses> {
+        let mean_ms = |count| self.total.as_secs_f64() * 1_000.0 / f64::from(count);
+        (self.count >= LEAST_PAUSES).then(|| StreamPauses {
+            longest_ms: self.longest.as_secs_f64() * 1_000.0,
+            mean_ms: mean_ms(self.count),
+            running: self.running,
+        })
+    }
+}
+
 impl Source {
     async fn read(&mut self, call: &Call, splitter: &mut EventSplitter) -> Piece {
         loop {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -9,6 +9,7 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
 use currantlink_core::ids::WorkspaceName;
+use currantlink_core::pace::Pace;
 use currantlink_core::relay::Relay;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -54,6 +55,8 @@
     pub(crate) health: Health<FleetKey>,
     /// Backends whose address another one answered at.
     pub(crate) misplaced: IndexSet<FleetKey>,
+    /// Pauses of recent streams, by service.
+    pub(crate) paces: IndexMap<String, Pace>,
     pub(crate) durations_ms: IndexMap<String, f64>,
     pub(crate) longest_deadlines_ms: IndexMap<String, u64>,
 }
