--- a/core/tests/rebalance.rs
+++ b/core/tests/rebalance.rs
@@ -93,6 +93,32 @@
     assert!(Demand::new(1, 2).rates().is_none(), "too few choices to plan with");
 }
 
+#[test]
+fn demand_moves_on() {
+    // Demand goes over from one expert to another within two seconds, as running requests are
+    // replaced by new ones.
+    let mut demand = Demand::new(1, 2);
+    let share_at = |at_ms: u64| (at_ms.clamp(1_000, 3_000) - 1_000) as f64 / 2_000.0;
+    for at_ms in (0..2_000).step_by(50) {
+        let second = 10_000.0 * share_at(at_ms);
+        demand.add(at_ms, &[10_000 - second as u64, second as u64]);
+    }
+    let rates = &demand.rates().unwrap()[0];
+    let share = rates[1] / (rates[0] + rates[1]);
+    assert!((share - share_at(2_300)).abs() < 0.1, "{share} when the plan is in use");
+}
+
+#[test]
+fn steady_demand() {
+    let mut demand = Demand::new(1, 3);
+    (0..3_000).step_by(50).for_each(|at_ms| demand.add(at_ms, &[6_000, 3_000, 1_000]));
+    let rates = &demand.rates().unwrap()[0];
+    let total: f64 = rates.iter().sum();
+    for (rate, share) in rates.iter().zip([0.6, 0.3, 0.1]) {
+        assert!((rate / total - share).abs() < 1e-6, "{rates:?}");
+    }
+}
+
 #[test]
 fn restarted_rank() {
     let mut meter = Meter::default();
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use currantlink_core::switch::{Observed, Order, Phase, Switch};
+use currantlink_core::switch::{Action, Observed, Order, Phase, RankState, Switch};
 use currantlink_standins::rank::Rank;
 use proptest::prelude::*;
 
@@ -240,3 +240,35 @@
         prop_assert!(world.held_ms < 1_000, "held for {} ms", world.held_ms);
     }
 }
+
+/// The pass that is held after a preparation in which a pass took `pass_ms`.
+fn held_pass(pass_ms: u64) -> u64 {
+    const BEGUN: u64 = 50;
+    let mut switch = Switch::new(1, 2, 0);
+    let observe = |now_ms: u64, prepared_version| {
+        let of_rank = |rank| {
+            let step = now_ms / pass_ms + BEGUN;
+            let (size, is_open, epoch) = (2, true, 1);
+            let group = String::from("g");
+            let rank =
+                RankState { group, epoch, rank, size, is_open, step, ..RankState::default() };
+            Some(Observed { state: RankState { prepared_version, ..rank }, at_ms: now_ms })
+        };
+        [of_rank(0), of_rank(1)]
+    };
+    switch.advance(0, &observe(0, None));
+    let version = switch.start(0, map());
+    switch.advance(0, &observe(0, None));
+    let orders = switch.advance(400, &observe(400, Some(version)));
+    match &orders[..] {
+        [(0, Order { action: Action::Hold { step }, .. })] => step - BEGUN - 400 / pass_ms,
+        _ => panic!("{orders:?}"),
+    }
+}
+
+#[test]
+fn nearest_pass() {
+    assert_eq!(held_pass(100), 1, "arming takes less than a pass");
+    assert_eq!(held_pass(25), 2);
+    assert_eq!(held_pass(5), 8);
+}
