Explain pauses and the limit of running requests, and test the next plan

Cause: a late stream's log line named its duration only, and a refusal by the limit of running requests was told as full slots and queues.

Ruled out: logging each event (volume).

Change: explain reads the stream's pauses and the limit; a test leads two ranks from one map to the next without their experts told. It fails where the planned map is not taken as known.

Conclusion: done.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -53,7 +53,7 @@
         return match rejected.get("outcome").unwrap_or_default() {
             "answer-lost" => format!("may have run; lost with backend {}", lost_with()),
             "timeout" => "may have run; no answer before its time was over".to_owned(),
-            "not-run: full" => "not run; every backend had its slots and queue full".to_owned(),
+            "not-run: full" => full(last("backends full")),
             "not-run: forming" => {
                 "not run; the group of its backends stood still or was formed again".to_owned()
             }
@@ -69,14 +69,32 @@
     }
     let placed = last("request placed");
     match last("request served") {
-        Some(served) => format!(
-            "served after {} ms by {}, which had {} requests when it was placed (report of {} ms before)",
-            value(Some(served), "after_ms"),
-            value(Some(served), "backend"),
-            value(placed, "load"),
-            value(placed, "report_age_ms"),
-        ),
+        Some(served) => {
+            let pause_ms = last("stream ended").and_then(|line| line.get("longest_pause_ms"));
+            let pause = pause_ms.map(|ms| format!("; longest pause between events {ms} ms"));
+            format!(
+                "served after {} ms by {}, which had {} requests when it was placed (report of {} ms before){}",
+                value(Some(served), "after_ms"),
+                value(Some(served), "backend"),
+                value(placed, "load"),
+                value(placed, "report_age_ms"),
+                pause.unwrap_or_default(),
+            )
+        }
         None if placed.is_some() => "still under way, or the caller left".to_owned(),
         None => "no line says".to_owned(),
     }
 }
+
+/// Says what the backends were full of.
+fn full(line: Option<&LogLine>) -> String {
+    let number = |key| line.and_then(|line| line.get(key)?.parse::<u32>().ok());
+    match (number("running_limit"), number("slots")) {
+        (Some(limit), Some(slots)) if limit < slots => {
+            format!(
+                "not run; with more than {limit} requests at each backend streams pause too long"
+            )
+        }
+        _ => "not run; every backend had its slots and queue full".to_owned(),
+    }
+}
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -16,6 +16,9 @@
 const GATEWAY_1: &str = r#"2026-12-03T23:18:38.900Z INFO currantlink_daemon::serve msg="request placed" request=stream-9 route=resumable backend=model-2 load=3 report_age_ms=41 candidates=4 queue_limit=9 tried=0 config_version=1
 2026-12-03T23:18:40.210Z INFO currantlink_daemon::serve msg="request placed" request=stream-10 route=resumable backend=model-1 load=7 report_age_ms=12 candidates=4 queue_limit=9 tried=0 config_version=1
 2026-12-03T23:18:41.720Z INFO currantlink_daemon::serve msg="request served" request=stream-10 backend=model-1 status=200 after_ms=1510
+2026-12-03T23:18:41.720Z INFO currantlink_daemon::relayed msg="stream ended" request=stream-10 longest_pause_ms=165 mean_pause_ms=101 running=8
+2026-12-03T23:18:42.001Z INFO currantlink_daemon::placing msg="backends full" request=stream-11 route=resumable least_load=6 slots=10 queue_limit=1 running_limit=6 excess=1 candidates=72 returned=false config_version=1
+2026-12-03T23:18:42.001Z INFO currantlink_daemon::serve msg="request rejected" request=stream-11 outcome="not-run: full" status=503 after_ms=0
 "#;
 
 fn explain(request: &str) -> (bool, String, String) {
@@ -52,7 +55,14 @@
 fn late_answer() {
     let (_, out, _) = explain("stream-10");
     let cause = "cause: served after 1510 ms by model-1, which had 7 requests when it was placed \
-                 (report of 12 ms before)";
+                 (report of 12 ms before); longest pause between events 165 ms";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
+#[test]
+fn running_limit() {
+    let (_, out, _) = explain("stream-11");
+    let cause = "cause: not run; with more than 6 requests at each backend streams pause too long";
     assert_eq!(out.lines().last(), Some(cause));
 }
 
--- /dev/null
+++ b/daemon/tests/planning.rs
@@ -0,0 +1,113 @@
+//! The leader of a group goes from one map to the next without waiting to be told what it planned.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use currantlink_core::routes::ExpertFigures;
+use currantlink_core::switch::{Action, Order, RankState};
+use currantlink_daemon::conductor::{Conductor, Report, Way};
+
+const RANKS: u32 = 2;
+const FIGURES: ExpertFigures = ExpertFigures {
+    sets: 1,
+    experts: 4,
+    slots_per_rank: 3,
+    new_per_set: 1,
+    copy_ms: 10.0,
+    expert_share: 0.85,
+    form_ms: 600.0,
+};
+/// Experts of each rank in the first map.
+const FIRST_MAP: [[u32; 2]; 2] = [[0, 1], [2, 3]];
+
+fn address(rank: u32) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + rank as u16))
+}
+
+/// Two ranks that do at once what they are told.
+struct Group {
+    conductor: Conductor,
+    ranks: Vec<RankState>,
+    now_ms: u64,
+}
+
+impl Group {
+    fn new() -> Self {
+        let conductor = Conductor::new(0, 1, RANKS as usize, 0, FIGURES);
+        let rank = |rank| RankState {
+            group: String::from("g"),
+            epoch: 1,
+            rank,
+            size: RANKS,
+            is_open: true,
+            ..RankState::default()
+        };
+        Self { conductor, ranks: (0..RANKS).map(rank).collect(), now_ms: 0 }
+    }
+
+    /// Has all ranks report, with `choices` of each expert and their experts where there are any.
+    fn report(&mut self, choices: &[u64]) {
+        self.now_ms += 20;
+        for state in &self.ranks {
+            let experts = match choices.is_empty() {
+                true => Vec::new(),
+                false => vec![FIRST_MAP[state.rank as usize].to_vec()],
+            };
+            let backend = address(100 + state.rank);
+            let report =
+                Report { state: state.clone(), choices: choices.to_vec(), experts, backend };
+            self.conductor.heard(self.now_ms, address(state.rank), report);
+        }
+    }
+
+    /// Lets the leader go on; returns the version of a map that the ranks are to prepare.
+    fn advance(&mut self) -> Option<u64> {
+        let mut prepared = None;
+        for (way, Order { action, .. }) in self.conductor.advance(self.now_ms) {
+            let is_asked = |rank: &&mut RankState| way == Way::Agent(address(rank.rank));
+            let rank = self.ranks.iter_mut().find(is_asked).unwrap();
+            rank.orders += 1;
+            match action {
+                Action::Prepare { version, .. } => {
+                    rank.prepared_version = Some(version);
+                    prepared = Some(version);
+                }
+                Action::Arm { version, step } => rank.armed = Some((version, step)),
+                Action::Disarm { .. } => rank.armed = None,
+                Action::Hold { step } => rank.held_step = Some(step),
+                Action::Go { step } => {
+                    for rank in &mut self.ranks {
+                        let (version, _) = rank.armed.take().unwrap();
+                        (rank.map_version, rank.step) = (version, step);
+                        (rank.held_step, rank.prepared_version) = (None, None);
+                    }
+                    return prepared;
+                }
+            }
+        }
+        prepared
+    }
+}
+
+#[test]
+fn next_plan() {
+    let mut group = Group::new();
+    group.report(&[20_000, 1_000, 1_000, 1_000]);
+    let first = group.advance().unwrap();
+    while group.ranks[0].map_version != first {
+        group.report(&[]);
+        group.advance();
+    }
+    // Demand moves to another expert; no rank has told its experts of the new map.
+    for _ in 0..40 {
+        group.now_ms += 50;
+        let (choices, state) = (vec![1_000, 1_000, 1_000, 20_000], group.ranks[0].clone());
+        let (experts, backend) = (Vec::new(), address(100));
+        let report = Report { state, choices, experts, backend };
+        group.conductor.heard(group.now_ms, address(0), report);
+    }
+    group.report(&[]);
+    let next = group.advance();
+    assert!(next.is_some_and(|next| next > first), "{next:?} after {first}");
+}
