Have one key type and one check of a rank's group

Ruled out: one type for the two listings of backends (command line and entry): the command line reads fewer fields of another process on purpose.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -196,11 +196,10 @@
                 let Some(conductor) = &mut self.conductor else {
                     return;
                 };
-                if conductor.lacks_experts(&state) {
-                    self.read_experts(backend, state.rank);
-                }
-                if let Some(conductor) = &mut self.conductor {
-                    conductor.observed(now_ms(), backend, state);
+                let (rank, lacks_experts) = (state.rank, conductor.lacks_experts(&state));
+                conductor.observed(now_ms(), backend, state);
+                if lacks_experts {
+                    self.read_experts(backend, rank);
                 }
                 self.conduct().await;
             }
@@ -270,28 +269,9 @@
                 }
             }
             Some(peer_message::Body::Lead(lead)) => self.led(from, &lead),
-            Some(peer_message::Body::RankReport(report)) => {
-                let Some(conductor) = &mut self.conductor else {
-                    return;
-                };
-                match orders::decode_report(report) {
-                    Ok(report)
-                        if self
-                            .rank
-                            .as_ref()
-                            .is_some_and(|own| own.group == report.state.group) =>
-                    {
-                        conductor.heard(now_ms(), from, report);
-                        if conductor.is_changing() {
-                            self.conduct().await;
-                        }
-                    }
-                    Ok(_) => {}
-                    Err(error) => log::warn!(error:% = error; "rank report is not usable"),
-                }
-            }
+            Some(peer_message::Body::RankReport(report)) => self.reported(from, report).await,
             Some(peer_message::Body::Command(command)) => {
-                let own = self.rank.as_ref().is_some_and(|own| own.group == command.group);
+                let own = self.is_of(&command.group);
                 match orders::decode_order(command, self.last_map.as_ref()) {
                     Some(order) if own => {
                         self.remember_map(&order);
@@ -305,8 +285,34 @@
         }
     }
 
+    async fn reported(&mut self, from: SocketAddr, report: RankReport) {
+        if self.conductor.is_none() {
+            return;
+        }
+        let report = match orders::decode_report(report) {
+            Ok(report) => report,
+            Err(error) => {
+                log::warn!(error:% = error; "rank report is not usable");
+                return;
+            }
+        };
+        let own = self.is_of(&report.state.group);
+        let Some(conductor) = self.conductor.as_mut().filter(|_| own) else {
+            return;
+        };
+        conductor.heard(now_ms(), from, report);
+        if conductor.is_changing() {
+            self.conduct().await;
+        }
+    }
+
+    /// Returns whether the backend beside this agent belongs to a group.
+    fn is_of(&self, group: &str) -> bool {
+        self.rank.as_ref().is_some_and(|own| own.group == group)
+    }
+
     fn led(&mut self, from: SocketAddr, lead: &Lead) {
-        let own = self.rank.as_ref().is_some_and(|own| own.group == lead.group);
+        let own = self.is_of(&lead.group);
         let now = now_ms();
         let is_newer = self.leader.is_none_or(|l| lead.fence >= l.fence);
         if !own || !is_newer {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod giving;
 pub mod groups;
 pub mod ingress;
+pub mod key;
 pub mod leader;
 pub mod link;
 pub mod logs;
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -18,12 +18,13 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+use crate::key::LinkKey;
+
 /// Largest frame on a link in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 const CHALLENGE_LEN: usize = 32;
-const MIN_KEY_LEN: usize = 32;
 
 /// What is wrong with a link.
 #[derive(Debug, Display, Error, From)]
@@ -57,29 +58,6 @@
     },
 }
 
-/// Key shared by all processes of one system.
-#[derive(Clone)]
-pub struct LinkKey(Vec<u8>);
-
-impl std::fmt::Debug for LinkKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("LinkKey(..)")
-    }
-}
-
-/// A key of fewer than 32 bytes.
-#[derive(Clone, Copy, Debug, Display, Error)]
-#[display("a link key has at least 32 bytes")]
-pub struct KeyLengthError;
-
-impl TryFrom<&[u8]> for LinkKey {
-    type Error = KeyLengthError;
-
-    fn try_from(bytes: &[u8]) -> Result<Self, KeyLengthError> {
-        if bytes.len() < MIN_KEY_LEN { Err(KeyLengthError) } else { Ok(Self(bytes.to_vec())) }
-    }
-}
-
 /// End of a link, as named in its proof.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -238,11 +216,8 @@
     }
 }
 
-#[allow(clippy::expect_used)]
 fn proof(key: &LinkKey, end: End, own: &Hello, other: &Hello) -> Hmac<Sha256> {
-    let mut mac = Hmac::new_from_slice(&key.0).expect("HMAC takes any key length");
-    mac.update(end.label());
-    mac.update(&own.encode_length_delimited_to_vec());
-    mac.update(&other.encode_length_delimited_to_vec());
-    mac
+    let (own, other) =
+        (own.encode_length_delimited_to_vec(), other.encode_length_delimited_to_vec());
+    key.mac(&[end.label(), &own, &other])
 }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -4,17 +4,15 @@
 use std::net::SocketAddr;
 
 use currantlink_wire::peers::{Hello, Peer, PeerMessage, Role, peer_message};
-use derive_more::{Display, Error};
-use hmac::{Hmac, Mac};
+use hmac::Mac;
 use indexmap::IndexMap;
 use prost::Message;
-use sha2::Sha256;
 use tokio::net::UdpSocket;
 
 use crate::clock::now_ms;
+use crate::key::LinkKey;
 
 const TAG_BYTES: usize = 16;
-const MIN_KEY_BYTES: usize = 32;
 /// Largest datagram over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 /// Time between two greetings to each peer.
@@ -26,34 +24,11 @@
 /// Silence after which a peer is forgotten; until then it is greeted, as it may be back.
 const FORGET_MS: u64 = 60_000;
 
-/// Key that all processes share.
-#[derive(Clone)]
-pub struct PeerKey(Vec<u8>);
-
-impl std::fmt::Debug for PeerKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("PeerKey(..)")
-    }
-}
-
-/// A shared key is too short.
-#[derive(Clone, Copy, Debug, Display, Error)]
-#[display("a shared key has at least {MIN_KEY_BYTES} bytes")]
-pub struct PeerKeyError;
-
-impl TryFrom<&[u8]> for PeerKey {
-    type Error = PeerKeyError;
-
-    fn try_from(bytes: &[u8]) -> Result<Self, PeerKeyError> {
-        if bytes.len() < MIN_KEY_BYTES { Err(PeerKeyError) } else { Ok(Self(bytes.to_vec())) }
-    }
-}
-
 /// The other processes and the way to them.
 pub struct Peers {
     socket: UdpSocket,
     own: Peer,
-    keys: Vec<PeerKey>,
+    keys: Vec<LinkKey>,
     known: IndexMap<String, Known>,
     buffer: Vec<u8>,
     hello_at_ms: u64,
@@ -80,7 +55,7 @@
     }
 
     /// Uses a key for what is sent; the one before it is still accepted.
-    pub fn set_key(&mut self, key: PeerKey) {
+    pub fn set_key(&mut self, key: LinkKey) {
         const ACCEPTED_KEYS: usize = 2;
         self.keys.insert(0, key);
         self.keys.truncate(ACCEPTED_KEYS);
@@ -201,20 +176,13 @@
     }
 }
 
-#[allow(clippy::expect_used)]
-fn mac(key: &PeerKey, text: &[u8]) -> Hmac<Sha256> {
-    let mut mac = Hmac::new_from_slice(&key.0).expect("HMAC takes any key length");
-    mac.update(text);
-    mac
-}
-
-fn tag(key: &PeerKey, text: &[u8]) -> [u8; TAG_BYTES] {
-    let whole = mac(key, text).finalize().into_bytes();
+fn tag(key: &LinkKey, text: &[u8]) -> [u8; TAG_BYTES] {
+    let whole = key.mac(&[text]).finalize().into_bytes();
     let mut tag = [0; TAG_BYTES];
     tag.copy_from_slice(&whole[..TAG_BYTES]);
     tag
 }
 
-fn tag_matches(key: &PeerKey, text: &[u8], given: &[u8]) -> bool {
-    mac(key, text).verify_truncated_left(given).is_ok()
+fn tag_matches(key: &LinkKey, text: &[u8], given: &[u8]) -> bool {
+    key.mac(&[text]).verify_truncated_left(given).is_ok()
 }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::DaemonError;
-use crate::link::LinkKey;
+use crate::key::LinkKey;
 
 const LOG_POLL_MS: u64 = 500;
 const LIST_POLL_MS: u64 = 1_000;
--- a/daemon/src/uplink.rs
+++ b/daemon/src/uplink.rs
@@ -13,7 +13,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
-use crate::link::{self, Identity, LinkError, LinkKey, Receiver, Sender};
+use crate::key::LinkKey;
+use crate::link::{self, Identity, LinkError, Receiver, Sender};
 use crate::settings::LinkTiming;
 use crate::wiring;
 
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 use tokio::sync::mpsc;
 
-use crate::peers::PeerKey;
+use crate::key::LinkKey;
 
 /// Time for an answer of the store. It takes a few milliseconds, a slow one some hundred.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -47,7 +47,7 @@
     /// The store answers again after it had not.
     StoreReturned,
     /// The key that all processes share.
-    SharedKey(PeerKey),
+    SharedKey(LinkKey),
     /// A process registered itself.
     Peer(Peer),
 }
@@ -178,7 +178,7 @@
                 continue;
             };
             let update = match record.key.as_str() {
-                SHARED_KEY => PeerKey::try_from(value.as_ref()).map(Update::SharedKey).ok(),
+                SHARED_KEY => LinkKey::try_from(value.as_ref()).map(Update::SharedKey).ok(),
                 _ => Peer::decode(value).map(Update::Peer).ok(),
             };
             has_key |= matches!(update, Some(Update::SharedKey(_)));
--- a/daemon/tests/links.rs
+++ b/daemon/tests/links.rs
@@ -7,7 +7,8 @@
 use std::process::Command;
 use std::time::Duration;
 
-use currantlink_daemon::link::{self, Identity, LinkError, LinkKey};
+use currantlink_daemon::key::LinkKey;
+use currantlink_daemon::link::{self, Identity, LinkError};
 use currantlink_wire::link::Hello;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
