Relay expert maps and collect counts within large groups

Cause: in a group of 72 ranks with agents on 8 Mbit/s a leader sent every agent the whole map in a datagram of its own (some 540 KB, half a second of its link, again every 150 ms) and received 72 reports of 1,728 counts each 150 ms (7 Mbit/s).

Change: a map is encoded against the map in use if the receiver reports to know it, and is passed on by one agent in each of about sqrt(n) branches where that is faster on the link; counts go to collectors that add them up where they would exceed a fifth of the link; a new pass alone is no reason for a report. The rate of the link comes from the settings. What leads the group moved to a module of its own.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod exchange;
 pub mod experts;
+pub mod fanout;
 pub mod fleet;
 pub mod fold;
 pub mod gate;
--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -70,6 +70,13 @@
     pub busy: bool,
 }
 
+impl RankState {
+    /// Returns whether two states differ in nothing but the last pass.
+    pub fn is_same_except_step(&self, other: &Self) -> bool {
+        Self { step: other.step, ..self.clone() } == *other
+    }
+}
+
 /// A rank's state with the time of its observation.
 #[derive(Clone, Debug, Default)]
 pub struct ObservedState {
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -5,16 +5,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use bytes::Bytes;
-use currantlink_core::routes::{ExpertProfile, RouteTable};
+use currantlink_core::routes::RouteTable;
 use currantlink_core::switch::{Action, Order, RankState};
+use currantlink_platform::config;
 use currantlink_platform::engine::{EngineState, RankExperts};
-use currantlink_platform::store::StoreClient;
-use currantlink_platform::{config, names};
 use currantlink_wire::peers::{
-    Hello, Lead, Load, Peer, PeerMessage, RankReport, Role, peer_message,
+    Command, Lead, Load, Peer, PeerMessage, RankReport, Role, peer_message,
 };
 use indexmap::IndexMap;
 use tokio::sync::{Notify, mpsc};
@@ -23,11 +21,11 @@
 use crate::clock::now_ms;
 use crate::deployment_settings::{self, AgentSettings};
 use crate::error::DaemonError;
-use crate::group_leader::{GroupLeader, KnownLeader, OrderTarget, Report};
+use crate::group_leader::{GroupLeader, KnownLeader, Report};
+use crate::known_maps::KnownMaps;
 use crate::order_sender;
-use crate::orders::{self, VersionedMap};
+use crate::orders;
 use crate::peers::Peers;
-use crate::rank_client::RankClient;
 use crate::reload::Reload;
 use crate::stop::StopSignals;
 use crate::watcher::{self, Update};
@@ -35,16 +33,6 @@
 /// A map change counts as in progress for this time after an order was queued or the
 /// backend's state showed an order in effect.
 const CHANGE_ACTIVE_MS: u64 = 300;
-/// Interval between heartbeats of a leader.
-const HEARTBEAT_INTERVAL_MS: u64 = 100;
-/// Time without a heartbeat after which the agent of rank 0 claims leadership.
-const LEADER_TIMEOUT_MS: u64 = 400;
-/// Additional timeout per rank, so that agents do not all claim leadership at once.
-const TIMEOUT_PER_RANK_MS: u64 = 120;
-/// Minimum interval between two claims of one agent.
-const CLAIM_INTERVAL_MS: u64 = 1_500;
-/// Timeout of a claim in the store.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between load reports while the load is unchanged.
 const LOAD_INTERVAL_MS: u64 = 240;
 
@@ -52,6 +40,8 @@
 /// pass takes some tens of milliseconds.
 const STALL_TIMEOUT_MS: u64 = 400;
 
+mod leadership;
+
 enum Event {
     /// State of a rank whose agent sends no reports, read from the rank's backend.
     RemoteState(SocketAddr, RankState),
@@ -152,8 +142,11 @@
     order_senders: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
     /// Step of the last forward pass, and the time at which it was first observed, in milliseconds.
     last_pass: (u64, u64),
-    last_map: Option<VersionedMap>,
-    maps_sent: IndexMap<SocketAddr, VersionedMap>,
+    known_maps: KnownMaps,
+    /// Choices of other ranks that were received since the last report with choices.
+    collected_choices: Vec<u64>,
+    /// Agent that adds up choices for the leader, if it is neither the leader nor this agent.
+    collector: Option<SocketAddr>,
 }
 
 impl Agent {
@@ -181,8 +174,9 @@
             load_sent: None,
             order_senders: IndexMap::new(),
             last_pass: (0, 0),
-            last_map: None,
-            maps_sent: IndexMap::new(),
+            known_maps: KnownMaps::default(),
+            collected_choices: Vec::new(),
+            collector: None,
         }
     }
 
@@ -232,10 +226,14 @@
         if rank.busy || rank.armed.is_some() || rank.held_step.is_some() {
             self.busy_until_ms.store(now_ms() + CHANGE_ACTIVE_MS, Ordering::Relaxed);
         }
-        let is_changed = self.rank.as_ref() != Some(&rank) || !choices.is_empty();
+        // Every pass changes the step, which is not worth a report of its own.
+        let is_changed = self.rank.as_ref().is_none_or(|known| !known.is_same_except_step(&rank))
+            || !choices.is_empty();
         self.rank = Some(rank.clone());
+        let choices = self.add_collected(choices);
+        let has_map_in_use = self.known_maps.get(rank.map_version).is_some();
         let backend = self.settings.backend_address;
-        let report = Report { state: rank, choices, experts, backend };
+        let report = Report { state: rank, choices, experts, backend, has_map_in_use };
         if let Some(group_leader) = &mut self.group_leader {
             let own_link = self.settings.common.link_address();
             group_leader.record_report(now_ms(), own_link, report);
@@ -244,11 +242,36 @@
             && (is_changed || now_ms() >= self.report_sent_ms + POLL_INTERVAL.as_millis() as u64)
         {
             self.report_sent_ms = now_ms();
-            let report: RankReport = orders::encode_report(report);
-            self.peers.send_all([leader.address], peer_message::Body::RankReport(report)).await;
+            self.send_report(leader.address, report).await;
         }
     }
 
+    /// Sends a report to the leader, and its choices to the collector if there is one.
+    async fn send_report(&self, leader: SocketAddr, mut report: Report) {
+        if let Some(collector) = self.collector.filter(|_| !report.choices.is_empty()) {
+            let choices = std::mem::take(&mut report.choices);
+            let counts = Report { choices, experts: Vec::new(), ..report.clone() };
+            let counts = peer_message::Body::RankReport(orders::encode_report(counts));
+            self.peers.send_all([collector], counts).await;
+        }
+        let report = peer_message::Body::RankReport(orders::encode_report(report));
+        self.peers.send_all([leader], report).await;
+    }
+
+    /// Adds the collected choices of other ranks to those of the own rank, if these were read.
+    fn add_collected(&mut self, mut choices: Vec<u64>) -> Vec<u64> {
+        if !choices.is_empty() {
+            let collected = std::mem::take(&mut self.collected_choices);
+            choices.iter_mut().zip(collected).for_each(|(own, other)| *own += other);
+        }
+        choices
+    }
+
+    fn collect_choices(&mut self, choices: &[u64]) {
+        self.collected_choices.resize(choices.len(), 0);
+        self.collected_choices.iter_mut().zip(choices).for_each(|(sum, count)| *sum += count);
+    }
+
     async fn send_load(&mut self, state: &EngineState) {
         let now = now_ms();
         let step = state.rank.as_ref().map_or(0, |rank| rank.step);
@@ -282,26 +305,31 @@
             }
             Some(peer_message::Body::Lead(lead)) => self.handle_heartbeat(from, &lead),
             Some(peer_message::Body::RankReport(report)) => self.handle_report(from, report).await,
-            Some(peer_message::Body::Command(command)) => {
-                let is_own_group = self.is_in_group(&command.group);
-                match orders::decode_order(command, self.last_map.as_ref()) {
-                    Some(order) if is_own_group => {
-                        self.remember_map(&order);
-                        self.send_order(order, self.settings.backend_address);
-                    }
-                    Some(_) => {}
-                    None => log::info!(leader:% = from;
-                        "order dropped: its action is missing or its base map is unknown"),
+            Some(peer_message::Body::Command(command)) => self.handle_command(from, command).await,
+            _ => {}
+        }
+    }
+
+    async fn handle_command(&mut self, from: SocketAddr, mut command: Command) {
+        for (address, command) in orders::take_relayed(&mut command) {
+            self.peers.send_all([address], peer_message::Body::Command(command)).await;
+        }
+        let is_own_group = self.is_in_group(&command.group);
+        match orders::decode_order(command, &self.known_maps) {
+            Some(order) if is_own_group => {
+                if let Action::Prepare { version, map } = &order.action {
+                    let in_use = self.rank.as_ref().map_or(0, |rank| rank.map_version);
+                    self.known_maps.insert((*version, Arc::clone(map)), in_use);
                 }
+                self.send_order(order, self.settings.backend_address);
             }
-            _ => {}
+            Some(_) => {}
+            None => log::info!(leader:% = from;
+                "order dropped: its action is missing or its base map is unknown"),
         }
     }
 
     async fn handle_report(&mut self, from: SocketAddr, report: RankReport) {
-        if self.group_leader.is_none() {
-            return;
-        }
         let report = match orders::decode_report(report) {
             Ok(report) => report,
             Err(error) => {
@@ -311,6 +339,9 @@
         };
         let is_own_group = self.is_in_group(&report.state.group);
         let Some(group_leader) = self.group_leader.as_mut().filter(|_| is_own_group) else {
+            if is_own_group {
+                self.collect_choices(&report.choices);
+            }
             return;
         };
         group_leader.record_report(now_ms(), from, report);
@@ -338,6 +369,8 @@
             self.group_leader = None;
         }
         self.leader = Some(KnownLeader { fence: lead.fence, address: from, heartbeat_ms: now });
+        // An empty address means that choices go to the leader.
+        self.collector = lead.collector_address.parse().ok();
     }
 
     /// Queues an order for a backend. After the order is sent, the state of this agent's backend is
@@ -355,149 +388,4 @@
             log::error!(backend:% = backend; "order dropped: the task that sends orders has ended");
         }
     }
-
-    async fn advance_change(&mut self) {
-        let now = now_ms();
-        let Some(group_leader) = &mut self.group_leader else {
-            return;
-        };
-        let orders = group_leader.advance(now);
-        let own_link = self.settings.common.link_address();
-        let group = self.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default();
-        for (target, order) in orders {
-            match target {
-                OrderTarget::Agent(agent) if agent == own_link => {
-                    self.send_order(order, self.settings.backend_address);
-                }
-                OrderTarget::Agent(agent) => {
-                    let base = self.delta_base(agent, &order);
-                    let command = orders::encode_order(&group, &order, base.as_ref());
-                    self.peers.send_all([agent], peer_message::Body::Command(command)).await;
-                }
-                OrderTarget::Backend(backend) => self.send_order(order, backend),
-            }
-        }
-    }
-
-    /// Keeps the map of an order, since the next map may be encoded as the difference to this one.
-    fn remember_map(&mut self, order: &Order) {
-        if let Action::Prepare { version, map } = &order.action {
-            self.last_map = Some((*version, Arc::clone(map)));
-        }
-    }
-
-    /// Returns the map that was last sent to an agent, as the base for a different map. In large
-    /// groups, a complete map does not fit a packet. A map that is sent again is sent complete,
-    /// since the agent may not have received the base.
-    fn delta_base(&mut self, agent: SocketAddr, order: &Order) -> Option<VersionedMap> {
-        let Action::Prepare { version, map } = &order.action else {
-            return None;
-        };
-        let sent = self.maps_sent.insert(agent, (*version, Arc::clone(map)));
-        sent.filter(|(sent, _)| sent != version)
-    }
-
-    async fn tick(&mut self) {
-        self.peers.send_hello(Hello::default).await;
-        let now = now_ms();
-        let Some(rank) = self.rank.clone() else {
-            return;
-        };
-        if let Some(group_leader) = &mut self.group_leader {
-            let mut backends_to_read = group_leader.take_due_reads(now);
-            if group_leader.take_discovery_due(now) {
-                let backends = self.peers.registered(Role::Agent).map(|peer| &peer.backend_address);
-                let backends = backends.filter_map(|backend| backend.parse().ok());
-                backends_to_read
-                    .extend(backends.filter(|&backend| !group_leader.has_backend(backend)));
-            }
-            let fence = group_leader.fence();
-            for backend in backends_to_read {
-                self.read_remote_rank(backend, rank.group.clone());
-            }
-            if now >= self.heartbeat_sent_ms + HEARTBEAT_INTERVAL_MS {
-                self.heartbeat_sent_ms = now;
-                let lead = Lead { group: rank.group.clone(), fence };
-                let agents: Vec<SocketAddr> =
-                    self.peers.alive(Role::Agent).map(|(_, address)| address).collect();
-                self.peers.send_all(agents, peer_message::Body::Lead(lead)).await;
-            }
-            self.advance_change().await;
-            return;
-        }
-        let heartbeat_ms = self.leader.map_or(self.started_ms, |leader| leader.heartbeat_ms);
-        let timeout_ms = LEADER_TIMEOUT_MS + TIMEOUT_PER_RANK_MS * u64::from(rank.rank);
-        if now > heartbeat_ms + timeout_ms
-            && now > self.claim_sent_ms + CLAIM_INTERVAL_MS
-            && self.expert_profile().is_some()
-        {
-            self.claim_sent_ms = now;
-            self.claim_leadership(rank.group);
-        }
-    }
-
-    fn read_remote_rank(&self, backend: SocketAddr, group: String) {
-        let events = self.events.clone();
-        tokio::spawn(async move {
-            match RankClient::new(backend).state().await {
-                Ok(EngineState { rank: Some(rank), .. }) if rank.group == group => {
-                    // The receiver is dropped only when the process exits.
-                    let _ = events.send(Event::RemoteState(backend, rank));
-                }
-                Ok(_) => {}
-                Err(error) => log::info!(backend:% = backend, error:% = error;
-                    "failed to read the state of a rank"),
-            }
-        });
-    }
-
-    fn read_remote_experts(&self, backend: SocketAddr, rank: u32) {
-        let events = self.events.clone();
-        tokio::spawn(async move {
-            match RankClient::new(backend).experts().await {
-                // The receiver is dropped only when the process exits.
-                Ok(held) => drop(events.send(Event::RemoteExperts { rank, held })),
-                Err(error) => log::info!(backend:% = backend, error:% = error;
-                    "failed to read the experts of a rank"),
-            }
-        });
-    }
-
-    fn claim_leadership(&self, group: String) {
-        let mut store = StoreClient::new(self.settings.common.store_address);
-        let events = self.events.clone();
-        tokio::spawn(async move {
-            let record = Bytes::from(group.clone().into_bytes());
-            let claim = store.append(names::LEADERS_TOPIC, None, &[record], CLAIM_TIMEOUT).await;
-            match claim {
-                Ok(offset) => {
-                    // The receiver is dropped only when the process exits.
-                    let _ = events.send(Event::Claimed { fence: offset + 1, group });
-                }
-                Err(error) => log::info!(error:% = error; "failed to claim leadership"),
-            }
-        });
-    }
-
-    fn become_leader(&mut self, fence: u64, group: &str) {
-        let has_newer_leader = self.leader.is_some_and(|leader| leader.fence > fence);
-        let (Some(rank), Some(profile)) = (self.rank.clone(), self.expert_profile()) else {
-            return;
-        };
-        if has_newer_leader || rank.group != group {
-            return;
-        }
-        log::info!(fence, group; "elected leader of the group");
-        let (size, own_rank) = (rank.size as usize, rank.rank as usize);
-        self.group_leader = Some(GroupLeader::new(now_ms(), fence, size, own_rank, profile));
-        self.leader = None;
-        self.maps_sent.clear();
-        self.heartbeat_sent_ms = 0;
-    }
-
-    /// Returns the expert profile of the first service whose engines use expert maps.
-    fn expert_profile(&self) -> Option<ExpertProfile> {
-        let pools = self.table.as_ref()?.pools();
-        pools.iter().find_map(|pool| pool.engine.as_ref().and_then(|engine| engine.experts))
-    }
 }
--- /dev/null
+++ b/daemon/src/agent/leadership.rs
@@ -0,0 +1,219 @@
+//! The part of an agent that leads its group: claims, heartbeats, orders to the ranks, and direct
+//! reads of ranks without an agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use currantlink_core::fanout;
+use currantlink_core::routes::ExpertProfile;
+use currantlink_core::switch::{Action, Order};
+use currantlink_platform::engine::EngineState;
+use currantlink_platform::names;
+use currantlink_platform::store::StoreClient;
+use currantlink_wire::peers::{Hello, Lead, Role, peer_message};
+
+use super::{Agent, Event};
+use crate::backend_reader;
+use crate::clock::now_ms;
+use crate::group_leader::{GroupLeader, OrderTarget};
+use crate::orders;
+use crate::rank_client::RankClient;
+
+/// Interval between heartbeats of a leader.
+const HEARTBEAT_INTERVAL_MS: u64 = 100;
+/// Time without a heartbeat after which the agent of rank 0 claims leadership.
+const LEADER_TIMEOUT_MS: u64 = 400;
+/// Additional timeout per rank, so that agents do not all claim leadership at once.
+const TIMEOUT_PER_RANK_MS: u64 = 120;
+/// Minimum interval between two claims of one agent.
+const CLAIM_INTERVAL_MS: u64 = 1_500;
+/// Timeout of a claim in the store.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(800);
+
+impl Agent {
+    pub(super) async fn advance_change(&mut self) {
+        let now = now_ms();
+        let Some(group_leader) = &mut self.group_leader else {
+            return;
+        };
+        let orders = group_leader.advance(now);
+        let own_link = self.settings.common.link_address();
+        let group = self.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default();
+        let (maps, others): (Vec<_>, Vec<_>) = orders
+            .into_iter()
+            .partition(|(_, order)| matches!(order.action, Action::Prepare { .. }));
+        for (target, order) in others {
+            match target {
+                OrderTarget::Agent { address, .. } if address == own_link => {
+                    self.send_order(order, self.settings.backend_address);
+                }
+                OrderTarget::Agent { address, .. } => {
+                    let command = orders::encode_order(&group, &order, None);
+                    self.peers.send_all([address], peer_message::Body::Command(command)).await;
+                }
+                OrderTarget::Backend(backend) => self.send_order(order, backend),
+            }
+        }
+        self.send_maps(&group, maps).await;
+    }
+
+    /// Sends a map to its ranks. An agent that knows the map in use gets the difference to it.
+    async fn send_maps(&mut self, group: &str, orders: Vec<(OrderTarget, Order)>) {
+        let own_link = self.settings.common.link_address();
+        let (mut to_informed, mut to_uninformed) = (Vec::new(), Vec::new());
+        for (target, order) in orders {
+            match target {
+                OrderTarget::Agent { address, .. } if address == own_link => {
+                    self.send_order(order, self.settings.backend_address);
+                }
+                OrderTarget::Agent { address, has_map_in_use: true } => {
+                    to_informed.push((address, order));
+                }
+                OrderTarget::Agent { address, .. } => to_uninformed.push((address, order)),
+                OrderTarget::Backend(backend) => self.send_order(order, backend),
+            }
+        }
+        let base = self.group_leader.as_ref().and_then(GroupLeader::map_in_use);
+        let link_rate = self.settings.common.link_rate();
+        let informed = orders::encode_map_orders(group, &to_informed, base, link_rate);
+        let uninformed = orders::encode_map_orders(group, &to_uninformed, None, link_rate);
+        for (address, command) in informed.into_iter().chain(uninformed) {
+            self.peers.send_all([address], peer_message::Body::Command(command)).await;
+        }
+    }
+
+    /// Sends a heartbeat to all agents, which names the collector of each.
+    async fn send_heartbeat(&self, group: &str, group_leader: &GroupLeader) {
+        let own_link = self.settings.common.link_address();
+        let lead = |collector_address: String| {
+            let (group, fence) = (group.to_owned(), group_leader.fence());
+            peer_message::Body::Lead(Lead { group, fence, collector_address })
+        };
+        let mut reporting = group_leader.reporting_agents(now_ms());
+        reporting.retain(|&address| address != own_link);
+        let needs_collectors = self.settings.common.link_rate().is_some_and(|rate| {
+            rate.needs_collectors(
+                reporting.len(),
+                group_leader.counts_bytes(),
+                backend_reader::COUNTS_INTERVAL_MS,
+            )
+        });
+        let collected: Vec<SocketAddr> = match needs_collectors {
+            true => {
+                for branch in fanout::branches(&reporting) {
+                    let body = lead(branch[0].to_string());
+                    self.peers.send_all(branch[1..].iter().copied(), body).await;
+                }
+                fanout::branches(&reporting).flat_map(|branch| &branch[1..]).copied().collect()
+            }
+            false => Vec::new(),
+        };
+        let agents = self.peers.alive(Role::Agent).map(|(_, address)| address);
+        let others: Vec<SocketAddr> =
+            agents.filter(|address| !collected.contains(address)).collect();
+        self.peers.send_all(others, lead(String::new())).await;
+    }
+
+    pub(super) async fn tick(&mut self) {
+        self.peers.send_hello(Hello::default).await;
+        let now = now_ms();
+        let Some(rank) = self.rank.clone() else {
+            return;
+        };
+        if let Some(group_leader) = &mut self.group_leader {
+            let mut backends_to_read = group_leader.take_due_reads(now);
+            if group_leader.take_discovery_due(now) {
+                let backends = self.peers.registered(Role::Agent).map(|peer| &peer.backend_address);
+                let backends = backends.filter_map(|backend| backend.parse().ok());
+                backends_to_read
+                    .extend(backends.filter(|&backend| !group_leader.has_backend(backend)));
+            }
+            for backend in backends_to_read {
+                self.read_remote_rank(backend, rank.group.clone());
+            }
+            if now >= self.heartbeat_sent_ms + HEARTBEAT_INTERVAL_MS {
+                self.heartbeat_sent_ms = now;
+                if let Some(group_leader) = &self.group_leader {
+                    self.send_heartbeat(&rank.group, group_leader).await;
+                }
+            }
+            self.advance_change().await;
+            return;
+        }
+        let heartbeat_ms = self.leader.map_or(self.started_ms, |leader| leader.heartbeat_ms);
+        let timeout_ms = LEADER_TIMEOUT_MS + TIMEOUT_PER_RANK_MS * u64::from(rank.rank);
+        if now > heartbeat_ms + timeout_ms
+            && now > self.claim_sent_ms + CLAIM_INTERVAL_MS
+            && self.expert_profile().is_some()
+        {
+            self.claim_sent_ms = now;
+            self.claim_leadership(rank.group);
+        }
+    }
+
+    fn read_remote_rank(&self, backend: SocketAddr, group: String) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            match RankClient::new(backend).state().await {
+                Ok(EngineState { rank: Some(rank), .. }) if rank.group == group => {
+                    // The receiver is dropped only when the process exits.
+                    let _ = events.send(Event::RemoteState(backend, rank));
+                }
+                Ok(_) => {}
+                Err(error) => log::info!(backend:% = backend, error:% = error;
+                    "failed to read the state of a rank"),
+            }
+        });
+    }
+
+    pub(super) fn read_remote_experts(&self, backend: SocketAddr, rank: u32) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            match RankClient::new(backend).experts().await {
+                // The receiver is dropped only when the process exits.
+                Ok(held) => drop(events.send(Event::RemoteExperts { rank, held })),
+                Err(error) => log::info!(backend:% = backend, error:% = error;
+                    "failed to read the experts of a rank"),
+            }
+        });
+    }
+
+    fn claim_leadership(&self, group: String) {
+        let mut store = StoreClient::new(self.settings.common.store_address);
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let record = Bytes::from(group.clone().into_bytes());
+            let claim = store.append(names::LEADERS_TOPIC, None, &[record], CLAIM_TIMEOUT).await;
+            match claim {
+                Ok(offset) => {
+                    // The receiver is dropped only when the process exits.
+                    let _ = events.send(Event::Claimed { fence: offset + 1, group });
+                }
+                Err(error) => log::info!(error:% = error; "failed to claim leadership"),
+            }
+        });
+    }
+
+    pub(super) fn become_leader(&mut self, fence: u64, group: &str) {
+        let has_newer_leader = self.leader.is_some_and(|leader| leader.fence > fence);
+        let (Some(rank), Some(profile)) = (self.rank.clone(), self.expert_profile()) else {
+            return;
+        };
+        if has_newer_leader || rank.group != group {
+            return;
+        }
+        log::info!(fence, group; "elected leader of the group");
+        let (size, own_rank) = (rank.size as usize, rank.rank as usize);
+        self.group_leader = Some(GroupLeader::new(now_ms(), fence, size, own_rank, profile));
+        self.leader = None;
+        self.collector = None;
+        self.heartbeat_sent_ms = 0;
+    }
+
+    /// Returns the expert profile of the first service whose engines use expert maps.
+    fn expert_profile(&self) -> Option<ExpertProfile> {
+        let pools = self.table.as_ref()?.pools();
+        pools.iter().find_map(|pool| pool.engine.as_ref().and_then(|engine| engine.experts))
+    }
+}
--- a/daemon/src/backend_reader.rs
+++ b/daemon/src/backend_reader.rs
@@ -20,7 +20,7 @@
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum interval between reads of the expert counts. It is not shorter because a report with
 /// counts fills a packet, and not longer because demand is tracked over less than a second.
-const COUNTS_INTERVAL_MS: u64 = 150;
+pub const COUNTS_INTERVAL_MS: u64 = 150;
 
 /// Result of one read.
 #[derive(Clone, Debug)]
--- a/daemon/src/deployment_settings.rs
+++ b/daemon/src/deployment_settings.rs
@@ -4,12 +4,14 @@
 use std::path::Path;
 use std::time::Duration;
 
+use currantlink_core::fanout::LinkRate;
 use currantlink_core::share::RetryBudgetLimits;
 use currantlink_wire::settings::DeployedSettings;
 
 use crate::settings::{Checker, SettingsError, read};
 
 const MS_PER_S: f64 = 1_000.0;
+const BYTES_PER_MS_PER_MBPS: f64 = 125.0;
 
 /// Validated settings that the gateway and agent roles share.
 #[derive(Clone, Debug)]
@@ -64,6 +66,12 @@
         SocketAddr::new(self.ip, self.raw.link_port as u16)
     }
 
+    /// Returns the rate of this instance's link, or `None` if it is not limited.
+    pub fn link_rate(&self) -> Option<LinkRate> {
+        let bytes_per_ms = self.raw.link_mbps * BYTES_PER_MS_PER_MBPS;
+        (bytes_per_ms > 0.0).then_some(LinkRate { bytes_per_ms })
+    }
+
     /// Returns the grace period, which is the time from SIGTERM until the process must have exited.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.raw.grace_s)
@@ -98,6 +106,7 @@
             ("retry_ratio", raw.retry_ratio),
             ("retry_slack", raw.retry_slack),
             ("retry_window_s", raw.retry_window_s),
+            ("link_mbps", raw.link_mbps),
         ];
         for (field, value) in numbers {
             if !value.is_finite() || value < 0.0 {
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -9,6 +9,8 @@
 use currantlink_core::routes::ExpertProfile;
 use currantlink_core::switch::{ExpertMap, ObservedState, Order, Phase, RankState, Switch};
 
+use crate::known_maps::VersionedMap;
+
 /// Time without a report from a rank's agent after which the leader contacts the rank's backend
 /// directly for state and orders.
 const AGENT_TIMEOUT_MS: u64 = 350;
@@ -25,13 +27,19 @@
     read_ms: u64,
     experts: Vec<Vec<u32>>,
     experts_version: Option<u64>,
+    has_map_in_use: bool,
 }
 
 /// Destination of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderTarget {
     /// The agent of the rank.
-    Agent(SocketAddr),
+    Agent {
+        /// Address of the agent.
+        address: SocketAddr,
+        /// Whether the agent knows the complete map in use.
+        has_map_in_use: bool,
+    },
     /// The backend of the rank, if the rank's agent sends no reports.
     Backend(SocketAddr),
 }
@@ -47,6 +55,8 @@
     pub experts: Vec<Vec<u32>>,
     /// Address of the rank's backend.
     pub backend: SocketAddr,
+    /// Whether the agent knows the complete map in use.
+    pub has_map_in_use: bool,
 }
 
 /// Leader of one group.
@@ -57,9 +67,9 @@
     ranks: Vec<KnownRank>,
     demand: Demand,
     /// Version and map in use, once the experts of all ranks are known.
-    map_in_use: Option<(u64, Arc<ExpertMap>)>,
+    map_in_use: Option<VersionedMap>,
     /// Version and map of the last plan.
-    planned_map: Option<(u64, Arc<ExpertMap>)>,
+    planned_map: Option<VersionedMap>,
     started_ms: u64,
     discovery_ms: u64,
 }
@@ -96,6 +106,22 @@
         *self.switch.phase() != Phase::Idle
     }
 
+    /// Returns the map in use, if the experts of all ranks are known.
+    pub fn map_in_use(&self) -> Option<&VersionedMap> {
+        self.map_in_use.as_ref()
+    }
+
+    /// Returns the agents that send reports, ordered by rank.
+    pub fn reporting_agents(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let is_reporting = |rank: &&KnownRank| now_ms <= rank.report_ms + AGENT_TIMEOUT_MS;
+        self.ranks.iter().filter(is_reporting).filter_map(|rank| rank.agent).collect()
+    }
+
+    /// Returns the approximate size of a report with choices in bytes.
+    pub fn counts_bytes(&self) -> usize {
+        self.profile.sets * self.profile.experts
+    }
+
     /// Records the report of a rank's agent.
     pub fn record_report(&mut self, now_ms: u64, agent: SocketAddr, report: Report) {
         let index = report.state.rank as usize;
@@ -105,6 +131,7 @@
         rank.agent = Some(agent);
         rank.backend = Some(report.backend);
         rank.report_ms = now_ms;
+        rank.has_map_in_use = report.has_map_in_use;
         if !report.experts.is_empty() {
             rank.experts = report.experts;
             rank.experts_version = Some(report.state.map_version);
@@ -250,8 +277,8 @@
     fn order_target(&self, now_ms: u64, rank: usize) -> Option<OrderTarget> {
         let rank = &self.ranks[rank];
         match (rank.agent, rank.backend) {
-            (Some(agent), _) if now_ms <= rank.report_ms + AGENT_TIMEOUT_MS => {
-                Some(OrderTarget::Agent(agent))
+            (Some(address), _) if now_ms <= rank.report_ms + AGENT_TIMEOUT_MS => {
+                Some(OrderTarget::Agent { address, has_map_in_use: rank.has_map_in_use })
             }
             (_, Some(backend)) => Some(OrderTarget::Backend(backend)),
             _ => None,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod groups;
 pub mod ingress;
 pub mod key;
+pub mod known_maps;
 pub mod leader;
 pub mod link;
 pub mod logs;
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -3,15 +3,15 @@
 use std::net::{AddrParseError, SocketAddr};
 use std::sync::Arc;
 
+use currantlink_core::fanout::{self, LinkRate};
 use currantlink_core::switch::{Action, ExpertMap, Order, RankState};
 use currantlink_wire::peers::{
-    Arming, Command, ExpertSet, Experts, Prepare, RankChange, RankReport, command,
+    Arming, Command, ExpertSet, Experts, Prepare, RankChange, RankReport, Receiver, command,
 };
+use prost::Message;
 
 use crate::group_leader::Report;
-
-/// An expert map with its version.
-pub type VersionedMap = (u64, Arc<ExpertMap>);
+use crate::known_maps::{KnownMaps, VersionedMap};
 
 /// Encodes a report.
 pub fn encode_report(report: Report) -> RankReport {
@@ -34,6 +34,7 @@
         choices_shift,
         choices: report.choices.into_iter().map(|count| count >> choices_shift).collect(),
         experts: report.experts.into_iter().map(|experts| Experts { experts }).collect(),
+        has_map_in_use: report.has_map_in_use,
     }
 }
 
@@ -69,7 +70,7 @@
     let experts = report.experts.into_iter().map(|set| set.experts).collect();
     let unshift = |count: u64| count.checked_shl(report.choices_shift).unwrap_or(0);
     let choices = report.choices.into_iter().map(unshift).collect();
-    Ok(Report { state, choices, experts, backend })
+    Ok(Report { state, choices, experts, backend, has_map_in_use: report.has_map_in_use })
 }
 
 /// Encodes an order. A map is encoded as its difference to `base`, if present.
@@ -89,6 +90,7 @@
         epoch: order.epoch,
         expected_orders: order.expected_orders.unwrap_or_default(),
         action: Some(action),
+        receivers: Vec::new(),
     }
 }
 
@@ -110,15 +112,62 @@
     Prepare { version, base_version: *base_version, changes, ..Prepare::default() }
 }
 
-/// Decodes a map. Returns `None` if the map is encoded as the difference to a map other than
-/// `base`.
-fn decode_map(prepare: Prepare, base: Option<&VersionedMap>) -> Option<ExpertMap> {
+/// Encodes the orders of several agents to prepare the same map, with the agent that each message is
+/// sent to. Where it is faster, an agent passes the order on to others.
+pub fn encode_map_orders(
+    group: &str,
+    orders: &[(SocketAddr, Order)],
+    base: Option<&VersionedMap>,
+    link_rate: Option<LinkRate>,
+) -> Vec<(SocketAddr, Command)> {
+    let Some((_, first)) = orders.first() else {
+        return Vec::new();
+    };
+    let command = encode_order(group, first, base);
+    let is_relayed =
+        link_rate.is_some_and(|rate| rate.is_relaying_faster(orders.len(), command.encoded_len()));
+    match is_relayed {
+        true => fanout::branches(orders).map(|branch| address_branch(&command, branch)).collect(),
+        false => orders.chunks(1).map(|single| address_branch(&command, single)).collect(),
+    }
+}
+
+/// Addresses an order to the first agent of a branch, which passes it on to the others.
+fn address_branch(command: &Command, branch: &[(SocketAddr, Order)]) -> (SocketAddr, Command) {
+    let expected_orders = |order: &Order| order.expected_orders.unwrap_or_default();
+    let receiver = |(address, order): &(SocketAddr, Order)| Receiver {
+        address: address.to_string(),
+        expected_orders: expected_orders(order),
+    };
+    let (address, order) = &branch[0];
+    let command = Command {
+        expected_orders: expected_orders(order),
+        receivers: branch[1..].iter().map(receiver).collect(),
+        ..command.clone()
+    };
+    (*address, command)
+}
+
+/// Removes the receivers of an order and returns the order for each of them.
+pub fn take_relayed(command: &mut Command) -> Vec<(SocketAddr, Command)> {
+    let receivers = std::mem::take(&mut command.receivers);
+    let relayed = receivers.into_iter().filter_map(|Receiver { address, expected_orders }| {
+        let address = address.parse();
+        let address = address
+            .inspect_err(|error| log::warn!(error:% = error; "order has a malformed receiver"));
+        Some((address.ok()?, Command { expected_orders, ..command.clone() }))
+    });
+    relayed.collect()
+}
+
+/// Decodes a map. Returns `None` if the map is encoded as the difference to an unknown map.
+fn decode_map(prepare: Prepare, known_maps: &KnownMaps) -> Option<ExpertMap> {
     if !prepare.sets.is_empty() {
         let set = |set: ExpertSet| set.ranks.into_iter().map(|rank| rank.experts).collect();
         return Some(prepare.sets.into_iter().map(set).collect());
     }
-    let (version, base) = base?;
-    let mut map = (*version == prepare.base_version).then(|| base.as_ref().clone())?;
+    let (_, base) = known_maps.get(prepare.base_version)?;
+    let mut map = base.as_ref().clone();
     for RankChange { set, rank, experts } in prepare.changes {
         *map.get_mut(set as usize)?.get_mut(rank as usize)? = experts;
     }
@@ -126,12 +175,12 @@
 }
 
 /// Decodes an order. Returns `None` if the action is missing, or if a map is encoded as the
-/// difference to a map other than `base`.
-pub fn decode_order(command: Command, base: Option<&VersionedMap>) -> Option<Order> {
+/// difference to an unknown map.
+pub fn decode_order(command: Command, known_maps: &KnownMaps) -> Option<Order> {
     let action = match command.action? {
         command::Action::Prepare(prepare) => {
             let version = prepare.version;
-            Action::Prepare { version, map: Arc::new(decode_map(prepare, base)?) }
+            Action::Prepare { version, map: Arc::new(decode_map(prepare, known_maps)?) }
         }
         command::Action::Arm(Arming { version, step }) => Action::Arm { version, step },
         command::Action::HoldStep(step) => Action::Hold { step },
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -56,8 +56,13 @@
                 false => vec![FIRST_MAP[state.rank as usize].to_vec()],
             };
             let backend = address(100 + state.rank);
-            let report =
-                Report { state: state.clone(), choices: choices.to_vec(), experts, backend };
+            let report = Report {
+                state: state.clone(),
+                choices: choices.to_vec(),
+                experts,
+                backend,
+                has_map_in_use: false,
+            };
             self.leader.record_report(self.now_ms, address(state.rank), report);
         }
     }
@@ -66,8 +71,7 @@
     fn advance(&mut self) -> Option<u64> {
         let mut prepared = None;
         for (target, Order { action, .. }) in self.leader.advance(self.now_ms) {
-            let is_target =
-                |rank: &&mut RankState| target == OrderTarget::Agent(address(rank.rank));
+            let is_target = |rank: &&mut RankState| matches!(target, OrderTarget::Agent { address: to, .. } if to == address(rank.rank));
             let rank = self.ranks.iter_mut().find(is_target).unwrap();
             rank.orders += 1;
             match action {
@@ -106,7 +110,7 @@
         group.now_ms += 50;
         let (choices, state) = (vec![1_000, 1_000, 1_000, 20_000], group.ranks[0].clone());
         let (experts, backend) = (Vec::new(), address(100));
-        let report = Report { state, choices, experts, backend };
+        let report = Report { state, choices, experts, backend, has_map_in_use: false };
         group.leader.record_report(group.now_ms, address(0), report);
     }
     group.report(&[]);
