Release a group whose frozen leader holds it

Cause: a leader held its own rank. Ruled out: arming the leader's rank first (the next leader cannot tell a rank that is not armed yet).

Change: a leader holds the rank after its own, and gives hold and go to that backend itself. The rank before the held one is armed last, once all others are observed to be armed. The next leader begins with ranks that are not armed: one that has prepared its version can no longer be armed for the other change, so the others can be disarmed. If only the rank before the held one is missing and another is not armed, the group is released with the map in use. A new leader uses the map that its agent knows.

--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -12,10 +12,15 @@
 //! accepts invalidates all other orders for its earlier state.
 //!
 //! A leader that finds the group held by another leader recovers it: it prepares the map in use
-//! under a new version of its own, first on the held rank, and arms that version. The first order
-//! that the held rank accepts prevents the other leader from releasing it, so other ranks are
-//! disarmed only after that. Once every rank has prepared the new version, no order of the other
-//! leader can take effect.
+//! under a new version of its own and arms that version. It begins with the ranks that are not
+//! armed: once one of them has prepared the new version, it can no longer be armed for the other
+//! leader's change, so that change can no longer be completed, and the armed ranks are disarmed. Once
+//! every rank has prepared the new version, no order of the other leader can take effect.
+//!
+//! The machine of the other leader may not respond, and with it the rank beside it. So a leader holds
+//! the rank after its own, and the rank before a held one is armed last, after all others are
+//! observed to be armed. If that rank is the only one without a usable state and another rank was
+//! found not armed, it is not armed either. The group is then released with the map in use.
 
 use std::sync::Arc;
 
@@ -179,6 +184,12 @@
         /// Pass to release.
         step: u64,
     },
+    /// The held pass is being released without a change of the map.
+    #[display("release {step}")]
+    Release {
+        /// Pass to release.
+        step: u64,
+    },
 }
 
 /// Outcome of a change.
@@ -225,12 +236,12 @@
 }
 
 impl Switch {
-    /// Creates the leader of a group of `size` ranks with a fencing token; the hold is set on rank
-    /// `hold_rank`.
-    pub fn new(fence: u64, size: usize, hold_rank: usize) -> Self {
+    /// Creates the leader of a group of `size` ranks with a fencing token; `own_rank` is the rank on
+    /// the leader's machine.
+    pub fn new(fence: u64, size: usize, own_rank: usize) -> Self {
         Self {
             fence,
-            hold_rank,
+            hold_rank: (own_rank + 1) % size.max(1),
             epoch: 0,
             phase: Phase::Idle,
             map: None,
@@ -311,8 +322,17 @@
 
     /// Makes at most one transition and returns whether the phase changed.
     fn transition(&mut self, now_ms: u64, ranks: &[Option<ObservedState>]) -> bool {
+        if matches!(self.phase, Phase::Release { .. })
+            && !ranks.iter().flatten().any(|o| o.state.held_step.is_some())
+        {
+            self.finish(now_ms, ChangeOutcome::Abandoned);
+            return true;
+        }
         let Some(all) = self.usable_states(now_ms, ranks) else {
-            return self.expire_preparation(now_ms);
+            return match self.states_without_last_armed(now_ms, ranks) {
+                Some((step, others)) => self.recover_without_last_armed(now_ms, step, &others),
+                None => self.expire_preparation(now_ms),
+            };
         };
         let last_pass = all.iter().map(|o| o.state.step).max().unwrap_or(0);
         let held = all.iter().find_map(|o| o.state.held_step);
@@ -342,6 +362,8 @@
             Phase::Recover { version, step } if all.iter().all(|o| has_prepared(o, version)) => {
                 Some(Phase::Arm { version, step })
             }
+            // The other leader armed the last rank meanwhile, so no rank can be disarmed.
+            Phase::Recover { step, .. } if are_armed_alike(&all) => Some(Phase::Go { step }),
             Phase::Recover { .. } => None,
             Phase::Hold { version, step } if held == Some(step) => {
                 Some(Phase::Arm { version, step })
@@ -365,7 +387,13 @@
                 self.finish(now_ms, ChangeOutcome::Switched);
                 return true;
             }
-            Phase::Go { .. } => None,
+            // Another rank is held as well.
+            Phase::Go { step } | Phase::Release { step }
+                if held.is_some() && !all.iter().any(|o| o.state.held_step == Some(step)) =>
+            {
+                held.and_then(|step| self.recover(step, &all))
+            }
+            Phase::Go { .. } | Phase::Release { .. } => None,
         };
         match next {
             Some(next) if next != self.phase => {
@@ -399,15 +427,35 @@
     /// Returns the phase for a group that another leader holds, or `None` if the map in use is
     /// unknown.
     fn recover(&mut self, step: u64, all: &[&ObservedState]) -> Option<Phase> {
-        if let Some((version, _)) = all[0].state.armed
-            && are_armed(all, version, step)
-        {
+        if are_armed_alike(all) {
             return Some(Phase::Go { step });
         }
         self.map = Some(self.map_in_use.clone()?);
         Some(Phase::Recover { version: self.next_version(), step })
     }
 
+    /// Recovers a group whose held pass is `step` from the states of all ranks except the one that is
+    /// armed last. Returns whether the phase changed.
+    fn recover_without_last_armed(
+        &mut self,
+        now_ms: u64,
+        step: u64,
+        others: &[&ObservedState],
+    ) -> bool {
+        let next = match self.phase {
+            Phase::Recover { version, .. } => {
+                let is_undone =
+                    |o: &&ObservedState| o.state.armed.is_none() && has_prepared(o, version);
+                others.iter().all(is_undone).then_some(Phase::Release { step })
+            }
+            Phase::Arm { .. } | Phase::Go { .. } | Phase::Release { .. } => None,
+            // If all others are armed, the last one may be armed as well.
+            _ if others.iter().all(|o| o.state.armed.is_some()) => None,
+            _ => self.recover(step, others),
+        };
+        next.map(|next| self.enter(now_ms, next)).is_some()
+    }
+
     fn expire_preparation(&mut self, now_ms: u64) -> bool {
         let preparing = matches!(self.phase, Phase::Prepare { .. });
         let expired = preparing && now_ms > self.phase_started_ms + PREPARE_TIMEOUT_MS;
@@ -464,12 +512,19 @@
                 is_needed.then_some(Action::Prepare { version, map })
             }
             Phase::Recover { version, .. } => {
-                let is_held = state.held_step.is_some();
-                let is_recovered =
-                    |o: &ObservedState| o.state.held_step.is_some() && has_prepared(o, version);
+                let states = || ranks.iter().flatten().filter(|o| o.state.epoch == self.epoch);
+                // The ranks are armed for different changes, so that none can be completed.
+                let is_mixed = || {
+                    states().all(|o| o.state.armed.is_some())
+                        && states().any(|o| o.state.armed != state.armed)
+                };
                 match state.armed {
-                    _ if !is_held && !ranks.iter().flatten().any(is_recovered) => None,
-                    Some((armed, _)) => Some(Action::Disarm { version: armed }),
+                    Some((armed, _))
+                        if states().any(|o| has_prepared(o, version)) || is_mixed() =>
+                    {
+                        Some(Action::Disarm { version: armed })
+                    }
+                    Some(_) => None,
                     None => {
                         let map = self.map.clone()?;
                         let is_needed = state.prepared_version != Some(version) && !state.busy;
@@ -482,30 +537,65 @@
                 is_needed.then_some(Action::Hold { step })
             }
             Phase::Arm { version, step } => {
+                let is_held = |o: &Option<ObservedState>| {
+                    o.as_ref().is_some_and(|o| o.state.held_step == Some(step))
+                };
+                let last = self.rank_before(ranks.iter().position(is_held)?);
+                let is_armed = |o: &Option<ObservedState>| {
+                    o.as_ref().is_some_and(|o| o.state.armed == Some((version, step)))
+                };
+                let others_armed =
+                    || ranks.iter().enumerate().all(|(other, o)| other == rank || is_armed(o));
                 let is_needed = state.armed != Some((version, step));
-                is_needed.then_some(Action::Arm { version, step })
+                (is_needed && (rank != last || others_armed()))
+                    .then_some(Action::Arm { version, step })
             }
-            Phase::Go { step } => {
+            Phase::Go { step } | Phase::Release { step } => {
                 let is_needed = state.held_step == Some(step);
                 is_needed.then_some(Action::Go { step })
             }
         }
     }
 
+    fn is_usable(&self, now_ms: u64, observed: &ObservedState) -> bool {
+        let is_recent = now_ms <= observed.at_ms + MAX_STATE_AGE_MS;
+        is_recent && observed.state.is_open && observed.state.epoch == self.epoch
+    }
+
     /// Returns the states of all ranks, if each one is known, recent, open and of the newest epoch.
     fn usable_states<'a>(
         &self,
         now_ms: u64,
         ranks: &'a [Option<ObservedState>],
     ) -> Option<Vec<&'a ObservedState>> {
-        let usable = |o: &ObservedState| {
-            let recent = now_ms <= o.at_ms + MAX_STATE_AGE_MS;
-            recent && o.state.is_open && o.state.epoch == self.epoch
-        };
-        let states = ranks.iter().map(|o| o.as_ref().filter(|o| usable(o)));
+        let states = ranks.iter().map(|o| o.as_ref().filter(|o| self.is_usable(now_ms, o)));
         states.collect::<Option<Vec<_>>>().filter(|all| !all.is_empty())
     }
 
+    /// Returns the held pass and the states of all ranks except the one before the held rank, if that
+    /// is the only one without a usable state and one rank is held.
+    fn states_without_last_armed<'a>(
+        &self,
+        now_ms: u64,
+        ranks: &'a [Option<ObservedState>],
+    ) -> Option<(u64, Vec<&'a ObservedState>)> {
+        let is_held =
+            |o: &Option<ObservedState>| o.as_ref().is_some_and(|o| o.state.held_step.is_some());
+        let held_rank = ranks.iter().position(is_held)?;
+        let step = ranks[held_rank].as_ref()?.state.held_step?;
+        let last = self.rank_before(held_rank);
+        let is_only_held = ranks.iter().filter(|o| is_held(o)).count() == 1;
+        let others = ranks.iter().enumerate().filter(|&(rank, _)| rank != last);
+        let others = others.map(|(_, o)| o.as_ref().filter(|o| self.is_usable(now_ms, o)));
+        let others = others.collect::<Option<Vec<_>>>()?;
+        (is_only_held && last != held_rank).then_some((step, others))
+    }
+
+    fn rank_before(&self, rank: usize) -> usize {
+        let size = self.sent.len().max(1);
+        (rank + size - 1) % size
+    }
+
     fn enter(&mut self, now_ms: u64, phase: Phase) {
         self.phase = phase;
         self.phase_started_ms = now_ms;
@@ -528,6 +618,10 @@
     all.iter().all(|o| o.state.armed == Some((version, step)))
 }
 
+fn are_armed_alike(all: &[&ObservedState]) -> bool {
+    all[0].state.armed.is_some_and(|(version, step)| are_armed(all, version, step))
+}
+
 fn has_prepared(observed: &ObservedState, version: u64) -> bool {
     observed.state.prepared_version == Some(version)
 }
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -38,6 +38,8 @@
     rng_state: u64,
     faults: OrderFaults,
     is_agent_dead: Vec<bool>,
+    /// Rank on a frozen machine, which executes no orders and reports no state.
+    frozen_rank: Option<usize>,
 }
 
 impl Simulation {
@@ -54,6 +56,7 @@
             rng_state: seed | 1,
             faults,
             is_agent_dead: vec![false; RANKS],
+            frozen_rank: None,
         }
     }
 
@@ -66,7 +69,8 @@
 
     fn observed(&self) -> Vec<Option<ObservedState>> {
         let observe = |rank: &Rank| ObservedState { state: rank.state.clone(), at_ms: self.now_ms };
-        self.ranks.iter().map(|rank| Some(observe(rank))).collect()
+        let is_frozen = |rank: &Rank| self.frozen_rank == Some(rank.state.rank as usize);
+        self.ranks.iter().map(|rank| (!is_frozen(rank)).then(|| observe(rank))).collect()
     }
 
     fn queue(&mut self, orders: Vec<(usize, Order)>) {
@@ -79,13 +83,20 @@
     fn tick(&mut self) {
         self.now_ms += TICK_MS;
         let now_ms = self.now_ms;
-        let (due, rest) = self.delayed.drain(..).partition(|(at, ..)| *at <= now_ms);
+        let frozen_rank = self.frozen_rank;
+        let (due, rest) = self
+            .delayed
+            .drain(..)
+            .partition(|&(at, rank, _)| at <= now_ms && frozen_rank != Some(rank));
         self.delayed = rest;
         for (_, rank, order) in due {
             let _ = self.ranks[rank].apply(now_ms, &order);
         }
         for rank in 0..RANKS {
-            if self.is_agent_dead[rank] || now_ms < self.busy_until_ms[rank] {
+            if self.is_agent_dead[rank]
+                || frozen_rank == Some(rank)
+                || now_ms < self.busy_until_ms[rank]
+            {
                 continue;
             }
             if let Some(order) = self.queued[rank].pop_front() {
@@ -221,6 +232,49 @@
         prop_assert!(simulation.held_ms < 1_000, "held for {} ms", simulation.held_ms);
     }
 
+    /// The machine of a leader freezes at any step of a change. The next leader releases the group
+    /// although the rank on that machine does not respond, unless all other ranks are armed.
+    #[test]
+    fn frozen_leader(
+        seed in any::<u64>(),
+        lost_percent in 0u8..30,
+        run_ms in 10u64..1_500,
+        frozen in 0usize..RANKS,
+        next in 1usize..RANKS,
+    ) {
+        let mut simulation =
+            Simulation::new(seed, OrderFaults { lost_percent, max_delay_ms: 1_500 });
+        let mut leaders =
+            [Switch::new(1, RANKS, frozen), Switch::new(2, RANKS, (frozen + next) % RANKS)];
+        leaders.iter_mut().for_each(|switch| switch.set_map_in_use(map()));
+        run_leader(&mut simulation, &mut leaders[0], run_ms);
+        let last_observed = simulation.observed();
+        simulation.frozen_rank = Some(frozen);
+        simulation.faults.lost_percent = 0;
+        run_leader(&mut simulation, &mut leaders[1], 2_500);
+        let others = simulation.ranks.iter().filter(|rank| rank.state.rank as usize != frozen);
+        let all_armed = others.clone().all(|rank| rank.state.armed.is_some());
+        let held_ms = simulation.held_ms;
+        prop_assert!(all_armed || held_ms < 1_000, "held for {held_ms} ms");
+        // After it wakes, the first leader acts on messages that it received before.
+        simulation.frozen_rank = None;
+        let now_ms = simulation.now_ms;
+        let late = last_observed.into_iter().flatten();
+        let late: Vec<_> = late.map(|o| Some(ObservedState { at_ms: now_ms, ..o })).collect();
+        let orders = leaders[0].advance(now_ms, &late);
+        simulation.queue(orders);
+        for _ in 0..20 {
+            for switch in &mut leaders {
+                let observed = simulation.observed();
+                let orders = switch.advance(simulation.now_ms, &observed);
+                simulation.queue(orders);
+            }
+            simulation.tick();
+        }
+        run_leader(&mut simulation, &mut leaders[1], 4_000);
+        prop_assert!(simulation.held_ms < 1_000, "held for {} ms", simulation.held_ms);
+    }
+
     #[test]
     fn two_leaders(seed in any::<u64>(), lost_percent in 0u8..50, turns in 1usize..60) {
         let faults = OrderFaults { lost_percent, max_delay_ms: 1_500 };
@@ -265,7 +319,7 @@
     switch.advance(0, &observe(0, None));
     let orders = switch.advance(400, &observe(400, Some(version)));
     match &orders[..] {
-        [(0, Order { action: Action::Hold { step }, .. })] => step - FIRST_PASS - 400 / pass_ms,
+        [(1, Order { action: Action::Hold { step }, .. })] => step - FIRST_PASS - 400 / pass_ms,
         _ => panic!("{orders:?}"),
     }
 }
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -206,7 +206,10 @@
         log::info!(fence, group; "elected leader of the group");
         let (size, own_rank) = (rank.size as usize, rank.rank as usize);
         let group_leader = GroupLeader::new(now_ms(), fence, size, own_rank, profile, pace);
-        self.group_leader = Some(group_leader);
+        let group_leader = self.group_leader.insert(group_leader);
+        if let Some(map) = self.known_maps.get(rank.map_version) {
+            group_leader.set_known_map(map.clone());
+        }
         self.leader = None;
         self.collector = None;
         self.heartbeat_sent_ms = 0;
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -6,7 +6,7 @@
 
 use currantlink_core::demand::Demand;
 use currantlink_core::routes::{EngineProfile, ExpertProfile};
-use currantlink_core::switch::{ExpertMap, ObservedState, Order, Phase, RankState, Switch};
+use currantlink_core::switch::{Action, ExpertMap, ObservedState, Order, Phase, RankState, Switch};
 use currantlink_core::{pace, rebalance};
 
 use crate::known_maps::VersionedMap;
@@ -137,6 +137,13 @@
         *self.switch.phase() != Phase::Idle
     }
 
+    /// Sets the map in use that this agent knows. Ranks that use its version need not report their
+    /// experts.
+    pub fn set_known_map(&mut self, map: VersionedMap) {
+        self.switch.set_map_in_use(Arc::clone(&map.1));
+        self.planned_map = Some(map);
+    }
+
     /// Returns the map in use, if the experts of all ranks are known.
     pub fn map_in_use(&self) -> Option<&VersionedMap> {
         self.map_in_use.as_ref()
@@ -242,7 +249,9 @@
         }
         orders
             .into_iter()
-            .filter_map(|(rank, order)| Some((self.order_target(now_ms, rank)?, order)))
+            .filter_map(|(rank, order)| {
+                Some((self.order_target(now_ms, rank, &order.action)?, order))
+            })
             .collect()
     }
 
@@ -306,9 +315,14 @@
         is_complete.then_some(version)
     }
 
-    fn order_target(&self, now_ms: u64, rank: usize) -> Option<OrderTarget> {
+    fn order_target(&self, now_ms: u64, rank: usize, action: &Action) -> Option<OrderTarget> {
         let rank = &self.ranks[rank];
         match (rank.agent, rank.backend) {
+            // If the agent of the held rank sent these, both the leader and that agent would be
+            // needed to release the group.
+            (_, Some(backend)) if matches!(action, Action::Hold { .. } | Action::Go { .. }) => {
+                Some(OrderTarget::Backend(backend))
+            }
             (Some(address), _) if now_ms <= rank.report_ms + AGENT_TIMEOUT_MS => {
                 Some(OrderTarget::Agent { address, has_map_in_use: rank.has_map_in_use })
             }
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -86,7 +86,10 @@
     fn advance(&mut self) -> Option<u64> {
         let mut prepared = None;
         for (target, Order { action, .. }) in self.leader.advance(self.now_ms) {
-            let is_target = |rank: &&mut RankState| matches!(target, OrderTarget::Agent { address: to, .. } if to == address(rank.rank));
+            let is_target = |rank: &&mut RankState| match target {
+                OrderTarget::Agent { address: to, .. } => to == address(rank.rank),
+                OrderTarget::Backend(to) => to == address(100 + rank.rank),
+            };
             let rank = self.ranks.iter_mut().find(is_target).unwrap();
             rank.orders += 1;
             match action {
