Compare a random sample of backends, and read the store less often

Change: a gateway compares as many randomly drawn backends as there are backends per gateway, two at least, and all if those are full. Agents read the configuration every 20 s once they have it; gateways read the backends each second (leaving ones are passed on by peers besides).

Test many_gateways: 25.8 % of requests found no free slot, 1.2 % with the sample.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -12,6 +12,8 @@
 /// Factor on the queue limit for a request that returns after a rejection. The request is already
 /// late, and another rejection would lose it.
 const RETURNED_QUEUE_FACTOR: u32 = 2;
+/// Minimum number of backends that are compared.
+const MIN_SAMPLE: usize = 2;
 /// Range of the delay before a rejected request is retried.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (300, 1_500);
 /// Range of the delay while a group re-forms, which takes seconds.
@@ -120,19 +122,32 @@
     NoBackend,
 }
 
-/// Selects the least loaded backend that is below its limits.
+/// Returns how many randomly drawn backends a gateway compares.
+///
+/// Gateways that know the same reports would all send to the same least loaded backend until its next
+/// report, and fill it beyond its slots. With about its share of the backends to compare, each
+/// gateway selects another one.
+pub fn sample_size(backends: usize, gateways: usize) -> usize {
+    (backends / gateways.max(1)).max(MIN_SAMPLE)
+}
+
+/// Selects the least loaded of `sample_size` randomly drawn backends, or of all if those are at their
+/// limits.
 ///
 /// An ejected backend is selected only if all other backends are full. `draw` is a uniform random
-/// number and breaks ties.
-pub fn choose(candidates: &[Candidate], limits: Limits, draw: u64) -> Choice {
+/// number, which draws the sample and breaks ties.
+pub fn choose(candidates: &[Candidate], limits: Limits, sample_size: usize, draw: u64) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.is_serving);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
     if usable.is_empty() {
         return if candidates.is_empty() { Choice::NoBackend } else { Choice::Forming };
     }
-    let (ejected, healthy): (Vec<&Candidate>, Vec<&Candidate>) =
+    let (mut ejected, mut healthy): (Vec<&Candidate>, Vec<&Candidate>) =
         usable.into_iter().partition(|c| c.ejected);
-    let best = [least_loaded(&healthy, draw), least_loaded(&ejected, draw)];
+    shuffle(&mut healthy, draw);
+    shuffle(&mut ejected, draw);
+    let sample = &healthy[..sample_size.min(healthy.len())];
+    let best = [least_loaded(sample), least_loaded(&healthy), least_loaded(&ejected)];
     let has_capacity = |c: &&Candidate| c.load() < limits.max_load(c);
     if let Some(best) = best.into_iter().flatten().find(has_capacity) {
         return Choice::Send(best.key);
@@ -142,13 +157,21 @@
     excess.map_or(Choice::NoBackend, |excess| Choice::Full { excess })
 }
 
-fn least_loaded<'a>(candidates: &[&'a Candidate], draw: u64) -> Option<&'a Candidate> {
+/// Orders candidates randomly by `draw`.
+fn shuffle(candidates: &mut [&Candidate], draw: u64) {
+    const MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+    let random_rank = |key: FleetKey| {
+        let mixed = (draw ^ u64::from(key.0)).wrapping_mul(MULTIPLIER);
+        (mixed ^ (mixed >> 32)).wrapping_mul(MULTIPLIER)
+    };
+    candidates.sort_by_key(|candidate| random_rank(candidate.key));
+}
+
+/// Returns the first of the least loaded candidates, with local ones before others.
+fn least_loaded<'a>(candidates: &[&'a Candidate]) -> Option<&'a Candidate> {
     let relative = |c: &Candidate| f64::from(c.load()) / f64::from(c.slots.max(1));
-    let tie_breaker = |index: usize| (index as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ draw;
-    let ranked = candidates.iter().enumerate().min_by(|(i, a), (j, b)| {
-        let by_load = relative(a).total_cmp(&relative(b));
-        let by_domain = b.local.cmp(&a.local);
-        by_load.then(by_domain).then(tie_breaker(*i).cmp(&tie_breaker(*j)))
-    });
-    ranked.map(|(_, best)| *best)
+    let ranked = candidates
+        .iter()
+        .min_by(|a, b| relative(a).total_cmp(&relative(b)).then(b.local.cmp(&a.local)));
+    ranked.copied()
 }
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -2,9 +2,13 @@
 
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{
-    Candidate, Choice, Limits, LoadReport, choose, queue_limit, retry_after_ms,
+    Candidate, Choice, Limits, LoadReport, choose, queue_limit, retry_after_ms, sample_size,
 };
 
+fn choose_among_all(candidates: &[Candidate], limits: Limits, draw: u64) -> Choice {
+    choose(candidates, limits, candidates.len(), draw)
+}
+
 fn queued(queued: u32) -> Limits {
     Limits { running: None, queued }
 }
@@ -31,31 +35,37 @@
 fn least_loaded() {
     let all = [reported(1, 3, 0, 0), reported(2, 1, 0, 0), reported(3, 1, 0, 1)];
     for draw in 0..50 {
-        assert_eq!(choose(&all, queued(1), draw), Choice::Send(FleetKey(2)));
+        assert_eq!(choose_among_all(&all, queued(1), draw), Choice::Send(FleetKey(2)));
     }
 }
 
 #[test]
 fn all_full() {
     let all = [reported(1, 4, 2, 0), reported(2, 4, 1, 0)];
-    assert_eq!(choose(&all, queued(1), 0), Choice::Full { excess: 1 });
-    assert_eq!(choose(&all, queued(2), 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose_among_all(&all, queued(1), 0), Choice::Full { excess: 1 });
+    assert_eq!(choose_among_all(&all, queued(2), 0), Choice::Send(FleetKey(2)));
 }
 
 #[test]
 fn group_forming() {
     let mut forming = reported(1, 0, 0, 0);
     forming.report = forming.report.map(|r| LoadReport { is_serving: false, ..r });
-    assert_eq!(choose(&[forming], queued(1), 0), Choice::Forming);
-    assert_eq!(choose(&[forming, candidate(2, 3)], queued(1), 0), Choice::Send(FleetKey(2)));
+    assert_eq!(choose_among_all(&[forming], queued(1), 0), Choice::Forming);
+    assert_eq!(
+        choose_among_all(&[forming, candidate(2, 3)], queued(1), 0),
+        Choice::Send(FleetKey(2))
+    );
 }
 
 #[test]
 fn suspended_last() {
     let ejected = Candidate { ejected: true, ..candidate(1, 0) };
-    assert_eq!(choose(&[ejected, candidate(2, 3)], queued(1), 0), Choice::Send(FleetKey(2)));
     assert_eq!(
-        choose(&[ejected], queued(1), 0),
+        choose_among_all(&[ejected, candidate(2, 3)], queued(1), 0),
+        Choice::Send(FleetKey(2))
+    );
+    assert_eq!(
+        choose_among_all(&[ejected], queued(1), 0),
         Choice::Send(FleetKey(1)),
         "used if there is no other backend"
     );
@@ -66,9 +76,12 @@
     // Guards against rejecting a request because all healthy backends are full while an ejected
     // backend is idle.
     let ejected = Candidate { ejected: true, ..candidate(1, 0) };
-    assert_eq!(choose(&[ejected, reported(2, 4, 1, 0)], queued(1), 0), Choice::Send(FleetKey(1)));
+    assert_eq!(
+        choose_among_all(&[ejected, reported(2, 4, 1, 0)], queued(1), 0),
+        Choice::Send(FleetKey(1))
+    );
     let all_full = [Candidate { ejected: true, ..reported(1, 4, 3, 0) }, reported(2, 4, 1, 0)];
-    assert_eq!(choose(&all_full, queued(1), 0), Choice::Full { excess: 1 });
+    assert_eq!(choose_among_all(&all_full, queued(1), 0), Choice::Full { excess: 1 });
 }
 
 #[test]
@@ -77,7 +90,7 @@
     let mut hits = [0; 4];
     for draw in 0..4_000u64 {
         let mixed = draw.wrapping_mul(0x2545_F491_4F6C_DD1D);
-        if let Choice::Send(FleetKey(key)) = choose(&all, queued(1), mixed) {
+        if let Choice::Send(FleetKey(key)) = choose_among_all(&all, queued(1), mixed) {
             hits[key as usize] += 1;
         }
     }
@@ -86,7 +99,7 @@
 
 #[test]
 fn no_backend() {
-    assert_eq!(choose(&[], queued(1), 0), Choice::NoBackend);
+    assert_eq!(choose_among_all(&[], queued(1), 0), Choice::NoBackend);
 }
 
 #[test]
@@ -119,12 +132,78 @@
 fn fewer_running() {
     let limits = Limits { running: Some(3), queued: 2 };
     let all = [reported(1, 3, 0, 0), reported(2, 3, 0, 0)];
-    assert_eq!(choose(&all, limits, 0), Choice::Full { excess: 1 });
-    assert_eq!(choose(&[reported(1, 2, 0, 0)], limits, 0), Choice::Send(FleetKey(1)));
+    assert_eq!(choose_among_all(&all, limits, 0), Choice::Full { excess: 1 });
+    assert_eq!(choose_among_all(&[reported(1, 2, 0, 0)], limits, 0), Choice::Send(FleetKey(1)));
     let limits = Limits { running: Some(4), queued: 2 };
     assert_eq!(
-        choose(&all, limits, 0),
-        choose(&all, queued(2), 0),
+        choose_among_all(&all, limits, 0),
+        choose_among_all(&all, queued(2), 0),
         "a limit of all slots has no effect"
     );
 }
+
+/// Plays gateways that know reports which are up to `REPORT_MS` old, with three quarters of the slots
+/// in use. Returns the share of requests that are sent to a backend without a free slot.
+fn queued_share(gateways: usize, sample_size: usize) -> f64 {
+    const BACKENDS: usize = 72;
+    const SLOTS: u32 = 10;
+    const REPORT_MS: u64 = 160;
+    const DURATION_MS: u64 = 1_600;
+    const ARRIVAL_MS: u64 = 3;
+    let mut draw = 7_u64;
+    let mut random = move || {
+        draw ^= draw << 13;
+        draw ^= draw >> 7;
+        draw ^= draw << 17;
+        draw
+    };
+    let mut ends: Vec<Vec<u64>> = vec![Vec::new(); BACKENDS];
+    let mut reports = vec![LoadReport { is_serving: true, ..LoadReport::default() }; BACKENDS];
+    let mut sent = vec![vec![0_u32; BACKENDS]; gateways];
+    let (mut requests, mut queued_requests) = (0_u32, 0_u32);
+    for now_ms in (0..20_000).step_by(ARRIVAL_MS as usize) {
+        for backend in 0..BACKENDS {
+            ends[backend].retain(|&end| end > now_ms);
+            if (now_ms + backend as u64 * 2) % REPORT_MS < ARRIVAL_MS {
+                reports[backend].active = ends[backend].len() as u32;
+                sent.iter_mut().for_each(|sent| sent[backend] = 0);
+            }
+        }
+        let gateway = random() as usize % gateways;
+        let candidates: Vec<Candidate> = (0..BACKENDS)
+            .map(|backend| Candidate {
+                key: FleetKey(backend as u32),
+                slots: SLOTS,
+                own_requests: 0,
+                sent_since_report: sent[gateway][backend],
+                report: Some(reports[backend]),
+                ejected: false,
+                local: backend % 3 == gateway % 3,
+            })
+            .collect();
+        let Choice::Send(FleetKey(key)) = choose(&candidates, queued(2), sample_size, random())
+        else {
+            continue;
+        };
+        let backend = key as usize;
+        sent[gateway][backend] += 1;
+        requests += 1;
+        queued_requests += u32::from(ends[backend].len() as u32 >= SLOTS);
+        ends[backend].push(now_ms + DURATION_MS / 2 + random() % DURATION_MS);
+    }
+    f64::from(queued_requests) / f64::from(requests)
+}
+
+#[test]
+fn many_gateways() {
+    let (all, sampled) = (queued_share(15, 72), queued_share(15, sample_size(72, 15)));
+    // The first token of 95 in 100 requests is to be on time.
+    assert!(sampled < 0.05 && sampled < all / 2.0, "{sampled}, {all} if all are compared");
+}
+
+#[test]
+fn one_gateway() {
+    assert_eq!(sample_size(72, 1), 72);
+    assert!(queued_share(1, sample_size(72, 1)) < 0.01);
+    assert_eq!(sample_size(3, 15), 2);
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -79,11 +79,7 @@
     let peers = peers.map_err(|source| DaemonError::Bind { address, source })?;
     log::info!(name = common.name(), backend:% = settings.backend_address; "agent started");
     let (updates, mut update_queue) = mpsc::unbounded_channel();
-    tokio::spawn(watcher::follow_config(
-        common.store_address,
-        watcher::EXPERT_SIZES_READ_WAIT,
-        updates.clone(),
-    ));
+    tokio::spawn(watcher::follow_engine_figures(common.store_address, updates.clone()));
     tokio::spawn(watcher::follow_peers(common.store_address, own, updates));
     let (events, mut event_queue) = mpsc::unbounded_channel();
     let wake = Arc::new(Notify::new());
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -154,7 +154,7 @@
     };
     let (updates, mut queue) = mpsc::unbounded_channel();
     let store = common.store_address;
-    tokio::spawn(watcher::follow_config(store, watcher::CONFIG_READ_WAIT, updates.clone()));
+    tokio::spawn(watcher::follow_config(store, updates.clone()));
     tokio::spawn(watcher::follow_backends(store, updates.clone()));
     tokio::spawn(watcher::follow_peers(store, own, updates));
     let mut control = Control::new(peers, snapshot, load_reports);
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -48,7 +48,9 @@
         );
         let limits = Limits { running: self.running_limit(call, now), queued: queue_limit };
         let running_limit = limits.running;
-        match least_loaded::choose(&candidates, limits, rand::random()) {
+        let gateways = self.snapshot.load().gateway_count;
+        let sample_size = least_loaded::sample_size(candidates.len(), gateways);
+        match least_loaded::choose(&candidates, limits, sample_size, rand::random()) {
             Choice::Send(key) => {
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
                 let load = chosen.map(Candidate::load);
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -19,12 +19,13 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Long-poll wait of a gateway for a new configuration. A silent connection is detected after this
 /// time, well within the time allowed for applying a new configuration.
-pub const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_000);
-/// Long-poll wait of an agent, which uses only the expert map sizes of the configuration.
-pub const EXPERT_SIZES_READ_WAIT: Duration = Duration::from_secs(20);
+const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Interval between an agent's reads of the configuration, of which it uses only the figures of the
+/// engines. A long poll would return at every change of a route or a key.
+const ENGINE_FIGURES_READ_INTERVAL: Duration = Duration::from_secs(20);
 /// Interval between reads of the backends' records. A leaving backend accepts requests for some
 /// seconds after its announcement.
-const BACKENDS_READ_INTERVAL: Duration = Duration::from_millis(500);
+const BACKENDS_READ_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Initial interval between reads of the peers' records; it doubles with each read. Processes that
 /// start together may miss each other's records on the first read.
 const PEERS_READ_INITIAL_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,20 +135,38 @@
 }
 
 /// Follows the configuration until the receiver of updates is dropped.
-pub async fn follow_config(store: SocketAddr, wait: Duration, updates: Updates) {
+pub async fn follow_config(store: SocketAddr, updates: Updates) {
     let mut reader = TopicReader::new(store, names::OPERATOR_TOPIC);
-    loop {
-        let (read, _) = reader.next_with_retry(wait).await;
-        let (TopicRead::All(records) | TopicRead::Changes(records)) = read;
-        let configs = records.into_iter().filter(|record| record.key == names::CONFIG_KEY);
-        for config in configs.filter_map(|record| record.value) {
-            if updates.send(Update::Config(config)).is_err() {
-                return;
-            }
+    while send_configs(&mut reader, &updates).await.is_some() {}
+}
+
+/// Reads the configuration once it exists and then at long intervals, until the receiver of updates
+/// is dropped.
+pub async fn follow_engine_figures(store: SocketAddr, updates: Updates) {
+    let mut reader = TopicReader::new(store, names::OPERATOR_TOPIC);
+    let mut has_config = false;
+    while let Some(sent) = send_configs(&mut reader, &updates).await {
+        has_config |= sent > 0;
+        if has_config {
+            tokio::time::sleep(ENGINE_FIGURES_READ_INTERVAL).await;
         }
     }
 }
 
+/// Waits for new configurations and sends them. Returns their number, or `None` if the receiver is
+/// dropped.
+async fn send_configs(reader: &mut TopicReader, updates: &Updates) -> Option<usize> {
+    let (read, _) = reader.next_with_retry(CONFIG_READ_WAIT).await;
+    let (TopicRead::All(records) | TopicRead::Changes(records)) = read;
+    let configs = records.into_iter().filter(|record| record.key == names::CONFIG_KEY);
+    let mut sent = 0;
+    for config in configs.filter_map(|record| record.value) {
+        updates.send(Update::Config(config)).ok()?;
+        sent += 1;
+    }
+    Some(sent)
+}
+
 /// Follows the backends until the receiver of updates is dropped.
 pub async fn follow_backends(store: SocketAddr, updates: Updates) {
     let mut reader = TopicReader::new(store, names::BACKENDS_TOPIC);
