Keep collected choices when a report without choices arrives

Cause: read in the change: a report without choices emptied what a collector had added up, and a malformed collector address was dropped without a log line. Change: the sums are a type of core with a test (rebalance collected_choices); the address is logged.

--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -33,6 +33,31 @@
     }
 }
 
+/// Choices of several ranks, added up until they are reported together.
+#[derive(Clone, Debug, Default)]
+pub struct CollectedChoices {
+    sums: Vec<u64>,
+}
+
+impl CollectedChoices {
+    /// Adds the choices of one rank. A report without choices changes nothing.
+    pub fn add(&mut self, choices: &[u64]) {
+        if choices.is_empty() {
+            return;
+        }
+        self.sums.resize(choices.len(), 0);
+        self.sums.iter_mut().zip(choices).for_each(|(sum, count)| *sum += count);
+    }
+
+    /// Moves the collected choices into those of the own rank, unless these were not read.
+    pub fn move_into(&mut self, own: &mut [u64]) {
+        if !own.is_empty() {
+            let sums = std::mem::take(&mut self.sums);
+            own.iter_mut().zip(sums).for_each(|(own, other)| *own += other);
+        }
+    }
+}
+
 /// Exponentially decayed choices by set and expert.
 #[derive(Clone, Debug)]
 pub struct Demand {
--- a/core/tests/rebalance.rs
+++ b/core/tests/rebalance.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use currantlink_core::demand::{CounterDeltas, Demand};
+use currantlink_core::demand::{CollectedChoices, CounterDeltas, Demand};
 use currantlink_core::rebalance::{plan, skew};
 use currantlink_core::routes::ExpertProfile;
 use currantlink_core::switch::ExpertMap;
@@ -152,3 +152,17 @@
     let (all, few) = (copies(1.0), copies(1.4));
     assert!(0 < few[0] && few[0] < all[0], "{few:?} of {all:?}");
 }
+
+#[test]
+fn collected_choices() {
+    let mut collected = CollectedChoices::default();
+    collected.add(&[1, 2]);
+    collected.add(&[]);
+    collected.add(&[10, 20]);
+    collected.move_into(&mut []);
+    let mut own = [100, 200];
+    collected.move_into(&mut own);
+    assert_eq!(own, [111, 222]);
+    collected.move_into(&mut own);
+    assert_eq!(own, [111, 222], "choices are reported once");
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
+use currantlink_core::demand::CollectedChoices;
 use currantlink_core::routes::RouteTable;
 use currantlink_core::switch::{Action, Order, RankState};
 use currantlink_platform::config;
@@ -140,7 +141,7 @@
     last_pass: (u64, u64),
     known_maps: KnownMaps,
     /// Choices of other ranks that were received since the last report with choices.
-    collected_choices: Vec<u64>,
+    collected_choices: CollectedChoices,
     /// Agent that adds up choices for the leader, if it is neither the leader nor this agent.
     collector: Option<SocketAddr>,
 }
@@ -171,7 +172,7 @@
             order_senders: IndexMap::new(),
             last_pass: (0, 0),
             known_maps: KnownMaps::default(),
-            collected_choices: Vec::new(),
+            collected_choices: CollectedChoices::default(),
             collector: None,
         }
     }
@@ -214,7 +215,7 @@
         }
     }
 
-    async fn handle_reading(&mut self, Reading { state, choices, experts }: Reading) {
+    async fn handle_reading(&mut self, Reading { state, mut choices, experts }: Reading) {
         self.send_load(&state).await;
         let Some(rank) = state.rank else {
             return;
@@ -226,7 +227,7 @@
         let is_changed = self.rank.as_ref().is_none_or(|known| !known.is_same_except_step(&rank))
             || !choices.is_empty();
         self.rank = Some(rank.clone());
-        let choices = self.add_collected(choices);
+        self.collected_choices.move_into(&mut choices);
         let has_map_in_use = self.known_maps.get(rank.map_version).is_some();
         let backend = self.settings.backend_address;
         let report = Report { state: rank, choices, experts, backend, has_map_in_use };
@@ -255,20 +256,6 @@
         self.peers.send_all([leader], report).await;
     }
 
-    /// Adds the collected choices of other ranks to those of the own rank, if these were read.
-    fn add_collected(&mut self, mut choices: Vec<u64>) -> Vec<u64> {
-        if !choices.is_empty() {
-            let collected = std::mem::take(&mut self.collected_choices);
-            choices.iter_mut().zip(collected).for_each(|(own, other)| *own += other);
-        }
-        choices
-    }
-
-    fn collect_choices(&mut self, choices: &[u64]) {
-        self.collected_choices.resize(choices.len(), 0);
-        self.collected_choices.iter_mut().zip(choices).for_each(|(sum, count)| *sum += count);
-    }
-
     async fn send_load(&mut self, state: &EngineState) {
         let now = now_ms();
         let step = state.rank.as_ref().map_or(0, |rank| rank.step);
@@ -337,7 +324,7 @@
         let is_own_group = self.is_in_group(&report.state.group);
         let Some(group_leader) = self.group_leader.as_mut().filter(|_| is_own_group) else {
             if is_own_group {
-                self.collect_choices(&report.choices);
+                self.collected_choices.add(&report.choices);
             }
             return;
         };
@@ -366,8 +353,13 @@
             self.group_leader = None;
         }
         self.leader = Some(KnownLeader { fence: lead.fence, address: from, heartbeat_ms: now });
-        // An empty address means that choices go to the leader.
-        self.collector = lead.collector_address.parse().ok();
+        self.collector = match lead.collector_address.as_str() {
+            "" => None,
+            address => address
+                .parse()
+                .inspect_err(|error| log::warn!(error:% = error; "malformed collector address"))
+                .ok(),
+        };
     }
 
     /// Queues an order for a backend. After the order is sent, the state of this agent's backend is
