Measure the arming time of own holds only

Cause: read in the change: the time of the last hold was 0 in a new leader, so releasing a group that another leader held counted as an arming time of hours, capped at 300 ms, and the next maps were held 12 passes ahead instead of 1. An abandoned hold was counted into a later one in the same way. Ruled out: wrong maps, as the distance of a hold is no matter of safety. Change: the start of a hold is known only between an own hold and its release, which also replaces a flag.

--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -222,8 +222,8 @@
     outcome: Option<ChangeOutcome>,
     /// Time from holding a pass until its release is observed, in slow recent changes.
     arming_ms: f64,
-    hold_started_ms: u64,
-    is_release_observed: bool,
+    /// Time at which this leader began to hold a pass whose release it has not observed yet.
+    hold_started_ms: Option<u64>,
     /// Pass and time at the start of the preparation, used to compute the pass time.
     preparation_start: Option<(u64, u64)>,
 }
@@ -251,8 +251,7 @@
             sent: vec![None; size],
             outcome: None,
             arming_ms: INITIAL_ARMING_MS,
-            hold_started_ms: 0,
-            is_release_observed: false,
+            hold_started_ms: None,
             preparation_start: None,
         }
     }
@@ -339,8 +338,7 @@
         if matches!(self.phase, Phase::Prepare { .. }) {
             self.preparation_start.get_or_insert((last_pass, now_ms));
         }
-        if matches!(self.phase, Phase::Go { .. }) && held.is_none() && !self.is_release_observed {
-            self.is_release_observed = true;
+        if matches!(self.phase, Phase::Go { .. }) && held.is_none() {
             self.update_arming_time(now_ms);
         }
         let next = match self.phase {
@@ -397,9 +395,10 @@
         };
         match next {
             Some(next) if next != self.phase => {
-                if matches!(next, Phase::Hold { .. }) {
-                    self.hold_started_ms = now_ms;
-                    self.is_release_observed = false;
+                match next {
+                    Phase::Hold { .. } => self.hold_started_ms = Some(now_ms),
+                    Phase::Recover { .. } => self.hold_started_ms = None,
+                    _ => {}
                 }
                 self.enter(now_ms, next);
                 true
@@ -419,7 +418,10 @@
     }
 
     fn update_arming_time(&mut self, now_ms: u64) {
-        let elapsed_ms = now_ms.saturating_sub(self.hold_started_ms) as f64;
+        let Some(started_ms) = self.hold_started_ms.take() else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(started_ms) as f64;
         let smoothed_ms = self.arming_ms + ARMING_SMOOTHING * (elapsed_ms - self.arming_ms);
         self.arming_ms = smoothed_ms.max(elapsed_ms.min(MAX_ARMING_MS));
     }
@@ -605,6 +607,7 @@
     fn finish(&mut self, now_ms: u64, outcome: ChangeOutcome) {
         self.outcome = Some(outcome);
         self.map = None;
+        self.hold_started_ms = None;
         self.enter(now_ms, Phase::Idle);
     }
 }
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -330,3 +330,42 @@
     assert_eq!(passes_until_hold(25), 2);
     assert_eq!(passes_until_hold(5), 8);
 }
+
+/// A leader that releases the hold of another one has not measured how long arming takes.
+#[test]
+fn release_not_measured() {
+    const FIRST_PASS: u64 = 100;
+    let observe = |now_ms: u64, held_step, armed, prepared_version| {
+        let of_rank = |rank| {
+            let state = RankState {
+                group: String::from("g"),
+                epoch: 1,
+                rank,
+                size: 2,
+                is_open: true,
+                step: now_ms / 60 + FIRST_PASS,
+                held_step: if rank == 0 { held_step } else { None },
+                armed,
+                prepared_version,
+                ..RankState::default()
+            };
+            Some(ObservedState { state, at_ms: now_ms })
+        };
+        [of_rank(0), of_rank(1)]
+    };
+    let mut switch = Switch::new(2, 2, 0);
+    switch.set_map_in_use(map());
+    let held = observe(60_000, Some(1_101), Some((7, 1_101)), Some(7));
+    switch.advance(60_000, &held);
+    assert_eq!(*switch.phase(), Phase::Go { step: 1_101 });
+    switch.advance(60_060, &observe(60_060, None, None, None));
+    assert_eq!(*switch.phase(), Phase::Idle);
+    let version = switch.start(60_120, map());
+    switch.advance(60_120, &observe(60_120, None, None, None));
+    let orders = switch.advance(60_720, &observe(60_720, None, None, Some(version)));
+    let last_pass = 60_720 / 60 + FIRST_PASS;
+    match &orders[..] {
+        [(1, Order { action: Action::Hold { step }, .. })] => assert_eq!(*step, last_pass + 1),
+        _ => panic!("{orders:?}"),
+    }
+}
