--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -17,6 +17,7 @@
 use crate::backend_reader;
 use crate::clock::now_ms;
 use crate::group_leader::{GroupLeader, OrderTarget, PaceTarget};
+use crate::known_maps::VersionedMap;
 use crate::orders;
 use crate::rank_client::RankClient;
 
@@ -40,45 +41,39 @@
         let orders = group_leader.advance(now);
         let own_link = self.settings.common.link_address();
         let group = self.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default();
-        let (maps, others): (Vec<_>, Vec<_>) = orders
-            .into_iter()
-            .partition(|(_, order)| matches!(order.action, Action::Prepare { .. }));
-        for (target, order) in others {
+        // Agents that are sent a map, by whether they know the map in use.
+        let (mut informed, mut uninformed) = (Vec::new(), Vec::new());
+        for (target, order) in orders {
+            let is_map = matches!(order.action, Action::Prepare { .. });
             match target {
+                OrderTarget::Backend(backend) => self.send_order(order, backend),
                 OrderTarget::Agent { address, .. } if address == own_link => {
                     self.send_order(order, self.settings.backend_address);
                 }
+                OrderTarget::Agent { address, has_map_in_use: true } if is_map => {
+                    informed.push((address, order));
+                }
+                OrderTarget::Agent { address, .. } if is_map => uninformed.push((address, order)),
                 OrderTarget::Agent { address, .. } => {
                     let command = orders::encode_order(&group, &order, None);
                     self.peers.send_all([address], peer_message::Body::Command(command)).await;
                 }
-                OrderTarget::Backend(backend) => self.send_order(order, backend),
             }
         }
-        self.send_maps(&group, maps).await;
+        let base = self.group_leader.as_ref().and_then(GroupLeader::map_in_use);
+        self.send_maps(&group, &informed, base).await;
+        self.send_maps(&group, &uninformed, None).await;
     }
 
-    /// Sends a map to its ranks. An agent that knows the map in use gets the difference to it.
-    async fn send_maps(&mut self, group: &str, orders: Vec<(OrderTarget, Order)>) {
-        let own_link = self.settings.common.link_address();
-        let (mut to_informed, mut to_uninformed) = (Vec::new(), Vec::new());
-        for (target, order) in orders {
-            match target {
-                OrderTarget::Agent { address, .. } if address == own_link => {
-                    self.send_order(order, self.settings.backend_address);
-                }
-                OrderTarget::Agent { address, has_map_in_use: true } => {
-                    to_informed.push((address, order));
-                }
-                OrderTarget::Agent { address, .. } => to_uninformed.push((address, order)),
-                OrderTarget::Backend(backend) => self.send_order(order, backend),
-            }
-        }
-        let base = self.group_leader.as_ref().and_then(GroupLeader::map_in_use);
+    /// Sends a map to agents, encoded as the difference to `base` if present.
+    async fn send_maps(
+        &self,
+        group: &str,
+        orders: &[(SocketAddr, Order)],
+        base: Option<&VersionedMap>,
+    ) {
         let link_rate = self.settings.common.link_rate();
-        let informed = orders::encode_map_orders(group, &to_informed, base, link_rate);
-        let uninformed = orders::encode_map_orders(group, &to_uninformed, None, link_rate);
-        for (address, command) in informed.into_iter().chain(uninformed) {
+        for (address, command) in orders::encode_map_orders(group, orders, base, link_rate) {
             self.peers.send_all([address], peer_message::Body::Command(command)).await;
         }
     }
@@ -99,16 +94,14 @@
                 backend_reader::COUNTS_INTERVAL_MS,
             )
         });
-        let collected: Vec<SocketAddr> = match needs_collectors {
-            true => {
-                for branch in fanout::branches(&reporting) {
-                    let body = lead(branch[0].to_string());
-                    self.peers.send_all(branch[1..].iter().copied(), body).await;
-                }
-                fanout::branches(&reporting).flat_map(|branch| &branch[1..]).copied().collect()
+        let mut collected = Vec::new();
+        if needs_collectors {
+            for branch in fanout::branches(&reporting) {
+                let body = lead(branch[0].to_string());
+                self.peers.send_all(branch[1..].iter().copied(), body).await;
+                collected.extend_from_slice(&branch[1..]);
             }
-            false => Vec::new(),
-        };
+        }
         let agents = self.peers.alive(Role::Agent).map(|(_, address)| address);
         let others: Vec<SocketAddr> =
             agents.filter(|address| !collected.contains(address)).collect();
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -50,6 +50,13 @@
     has_map_in_use: bool,
 }
 
+impl KnownRank {
+    /// Returns whether the rank's agent has sent a report recently.
+    fn is_reporting(&self, now_ms: u64) -> bool {
+        now_ms <= self.report_ms + AGENT_TIMEOUT_MS
+    }
+}
+
 /// Destination of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderTarget {
@@ -91,7 +98,8 @@
     demand: Demand,
     /// Version and map in use, once the experts of all ranks are known.
     map_in_use: Option<VersionedMap>,
-    /// Version and map of the last plan.
+    /// Version and map whose experts are known for any rank that uses the version: the last plan, or
+    /// the map that this agent knew when it was elected.
     planned_map: Option<VersionedMap>,
     started_ms: u64,
     discovery_ms: u64,
@@ -151,8 +159,8 @@
 
     /// Returns the agents that send reports, ordered by rank.
     pub fn reporting_agents(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let is_reporting = |rank: &&KnownRank| now_ms <= rank.report_ms + AGENT_TIMEOUT_MS;
-        self.ranks.iter().filter(is_reporting).filter_map(|rank| rank.agent).collect()
+        let reporting = self.ranks.iter().filter(|rank| rank.is_reporting(now_ms));
+        reporting.filter_map(|rank| rank.agent).collect()
     }
 
     /// Returns the approximate size of a report with choices in bytes.
@@ -223,8 +231,7 @@
     /// records the reads.
     pub fn take_due_reads(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let due = |rank: &&mut KnownRank| {
-            now_ms > rank.report_ms + AGENT_TIMEOUT_MS
-                && now_ms > rank.read_ms + REMOTE_READ_INTERVAL_MS
+            !rank.is_reporting(now_ms) && now_ms > rank.read_ms + REMOTE_READ_INTERVAL_MS
         };
         let due = self.ranks.iter_mut().filter(due);
         let due_backends = due.filter_map(|rank| {
@@ -323,7 +330,7 @@
             (_, Some(backend)) if matches!(action, Action::Hold { .. } | Action::Go { .. }) => {
                 Some(OrderTarget::Backend(backend))
             }
-            (Some(address), _) if now_ms <= rank.report_ms + AGENT_TIMEOUT_MS => {
+            (Some(address), _) if rank.is_reporting(now_ms) => {
                 Some(OrderTarget::Agent { address, has_map_in_use: rank.has_map_in_use })
             }
             (_, Some(backend)) => Some(OrderTarget::Backend(backend)),
