Log what a stopping gateway accepts and what its exit cuts off

Change: a registry of requests in flight; one line when a request is accepted while stopping (time left and the request's own deadline), one when caller connections are closed, one for each request that the exit cuts off. No decision is changed.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -96,16 +96,31 @@
     let end = stopped_at + gateway.settings().common.grace().saturating_sub(FORCED_END_MARGIN);
     gateway.stop(end);
     tokio::time::sleep_until((stopped_at + IDLE_CLOSE_DELAY).min(end)).await;
+    log::info!(open = open.get(), in_flight = gateway.in_flight().count();
+        "closing caller connections");
     if close.send(true).is_err() {
         log::debug!("no caller connection is open");
     }
     while open.get() > 0 && Instant::now() < end {
         tokio::time::sleep(TICK_INTERVAL).await;
     }
-    log::info!(open = open.get(); "gateway stopped");
+    log_cut_off(&gateway, stopped_at);
+    log::info!(open = open.get(), took_ms = stopped_at.elapsed().as_millis() as u64;
+        "gateway stopped");
     Ok(())
 }
 
+/// Logs the requests that the exit of the process cuts off.
+fn log_cut_off(gateway: &Gateway, stopped_at: Instant) {
+    for request in gateway.in_flight().list() {
+        let after_stop = request.arrived_at.saturating_duration_since(stopped_at);
+        log::warn!(request = request.attempt_id.as_str(),
+            after_ms = request.arrived_at.elapsed().as_millis() as u64,
+            after_stop_ms = after_stop.as_millis() as u64;
+            "request cut off by the exit");
+    }
+}
+
 /// Applies changed settings. New addresses take effect only after a restart.
 async fn reload(gateway: Rc<Gateway>, mut reload: Reload) {
     loop {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gateway;
 pub mod group_leader;
 pub mod groups;
+pub mod in_flight;
 pub mod ingress;
 pub mod key;
 pub mod known_maps;
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -24,6 +24,7 @@
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
 use crate::deployment_settings::GatewaySettings;
+use crate::in_flight::{InFlightRequest, InFlightRequests};
 use crate::pool::ConnectionPool;
 use crate::rejection::{CONFIGURATION_RETRY_AFTER, NotRunReason, Rejection};
 use crate::response_body::ResponseBody;
@@ -46,6 +47,7 @@
     pub(crate) load_reports: Arc<LoadReports>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
+    in_flight: InFlightRequests,
     /// Time at which the process exits, once it is shutting down.
     exit_at: Cell<Option<Instant>>,
 }
@@ -119,6 +121,7 @@
             load_reports,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
+            in_flight: InFlightRequests::default(),
             exit_at: Cell::new(None),
         }
     }
@@ -133,6 +136,11 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Returns the requests that have not been answered completely.
+    pub fn in_flight(&self) -> &InFlightRequests {
+        &self.in_flight
+    }
+
     /// Returns whether the process is shutting down.
     pub fn is_stopping(&self) -> bool {
         self.exit_at.get().is_some()
@@ -181,6 +189,8 @@
         let arrived_at = Instant::now();
         let metadata = request::decode(request.headers());
         let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
+        let in_flight =
+            self.in_flight.begin(InFlightRequest { attempt_id: attempt_id.clone(), arrived_at });
         let mut response = match Rc::clone(&self).handle(request, metadata, arrived_at).await {
             Ok(response) => response,
             Err(rejection) => {
@@ -197,7 +207,7 @@
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        response
+        response.map(|body| body.with_guard(in_flight))
     }
 
     async fn handle(
@@ -210,6 +220,11 @@
         if self.is_exit_too_near(&call) {
             return Err(self.not_run_rejection(&call, NotRunReason::Stopping));
         }
+        if let Some(exit_at) = self.exit_at.get() {
+            let left_ms = exit_at.saturating_duration_since(arrived_at).as_millis() as u64;
+            log::info!(request = call.attempt_id.as_str(), left_ms,
+                deadline_ms = call.remaining().as_millis() as u64; "request accepted while stopping");
+        }
         let mut relay = RetryState::new(call.route().repeat, call.route().attempts);
         let mut tried = Vec::new();
         match call.route().repeat.is_stream() {
--- a/daemon/src/response_body.rs
+++ b/daemon/src/response_body.rs
@@ -45,9 +45,9 @@
         Self { content: Content::Chunks(Box::pin(chunks)), _guard: None }
     }
 
-    /// Attaches a guard that is dropped once the body is sent or dropped.
+    /// Attaches a guard that is dropped once the body is sent or dropped, with those attached before.
     pub fn with_guard(self, guard: impl std::any::Any) -> Self {
-        Self { _guard: Some(Box::new(guard)), ..self }
+        Self { content: self.content, _guard: Some(Box::new((guard, self._guard))) }
     }
 }
 
