Reproduce streams that the exit of a stopping gateway cuts off

The stand-in's streams can stall before their last event, and deployments have a grace period of their own.

--- a/bench/src/platform.rs
+++ b/bench/src/platform.rs
@@ -69,7 +69,7 @@
 
 async fn measure(options: &Platform, directory: &Path) -> Result<Vec<Tally>, BenchError> {
     let program: PathBuf = options.program.clone();
-    let shape = Shape { gateways: 2, ranks: 4, plain_backends: 2, events: 8 };
+    let shape = Shape { gateways: 2, ranks: 4, plain_backends: 2, events: 8, ..Shape::default() };
     let deployment = Arc::new(Deployment::start(&program, directory, shape).await?);
     deployment.wait_until_ready().await;
     let mut rng = StdRng::seed_from_u64(options.seed);
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use currantlink_core::switch::{Action, ExpertMap, Order};
 use currantlink_platform::names;
@@ -44,6 +45,8 @@
     Reset,
     /// The event stream is closed in the middle of the event that follows this many events.
     TruncateAfter(u64),
+    /// The event stream pauses for this long before its last event.
+    Stall(Duration),
 }
 
 /// Record of a request that was run.
@@ -264,7 +267,7 @@
         stream.write_all(head.as_bytes()).await?;
         stream.write_all(&body[..body.len() / 2]).await?;
         stream.flush().await?;
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
         // With a linger time of zero, closing the socket resets the connection.
         stream.set_zero_linger()?;
         Ok(false)
@@ -287,6 +290,11 @@
         let done = async {
             for event in from.unwrap_or(0) + 1..=self.events {
                 group.next_pass().await;
+                if let Fault::Stall(pause) = fault
+                    && event == self.events
+                {
+                    tokio::time::sleep(pause).await;
+                }
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 if matches!(fault, Fault::TruncateAfter(events) if event > events) {
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -43,7 +43,7 @@
 const LINK_IP: &str = "127.0.0.2";
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const DEADLINE_MS: u64 = 8_000;
-const GRACE_S: u64 = 3;
+const DEFAULT_GRACE_S: u64 = 3;
 
 /// Size of a deployment.
 #[derive(Clone, Copy, Debug)]
@@ -56,11 +56,13 @@
     pub plain_backends: usize,
     /// Number of events in a stream.
     pub events: u64,
+    /// Time from SIGTERM until a process must have exited.
+    pub grace_s: u64,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { gateways: 1, ranks: 0, plain_backends: 1, events: 5 }
+        Self { gateways: 1, ranks: 0, plain_backends: 1, events: 5, grace_s: DEFAULT_GRACE_S }
     }
 }
 
@@ -181,6 +183,7 @@
     pub store: SocketAddr,
     program: PathBuf,
     directory: PathBuf,
+    grace_s: u64,
 }
 
 impl Deployment {
@@ -203,6 +206,7 @@
             store,
             program: program.to_owned(),
             directory: directory.to_owned(),
+            grace_s: shape.grace_s,
         };
         deployment.configure(1, &[KEY]);
         for index in 0..shape.plain_backends {
@@ -263,7 +267,7 @@
         let link = free_address();
         let mut settings = json!({
             "name": name, "failure_domain": "a", "ip": LINK_IP, "link_port": link.port(),
-            "store_address": self.store.to_string(), "drain_ms": 2_000, "grace_s": GRACE_S,
+            "store_address": self.store.to_string(), "drain_ms": 2_000, "grace_s": self.grace_s,
             "retry_ratio": 0.2, "retry_slack": 60.0, "retry_window_s": 10.0,
         });
         if let (Some(settings), Some(role_settings)) =
