Accept late in a stop only requests whose deadline passes before the exit

What callers saw: a response with status 200 that ends in the middle.

Cause: an estimate in the place of a promise. Whether a stopping gateway accepted a request depended on a decayed maximum of the service's recent durations, one for all kinds of requests; what ran longer than any request of late was cut. Ruled out: a late signal or a wrong exit time (forced exits come 7.754 to 7.757 s after the signal), the HTTP library, the closing of idle connections (docs/incidents/lost-at-stop.md).

Change: core/stop has the phases of a stop. A draining process accepts everything, for 2.6 s, so that what it accepts has at least 5.1 of 8 s; a closing one accepts only what its own deadline ends before the exit, rejects the rest as not run, and exits once nothing is in flight, no matter how many callers connect. A connection that is accepted while closing serves one request; before, it was either served or closed unread, at random. The estimate is gone.

Tried and dropped: closing the listener instead of rejecting.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
+use currantlink_core::stop::{Acceptance, Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message};
 use tokio::sync::{mpsc, watch};
@@ -23,7 +24,7 @@
 use crate::clock::now_ms;
 use crate::deployment_settings::{self, GatewaySettings};
 use crate::error::DaemonError;
-use crate::ingress;
+use crate::ingress::{self, Phase};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::request_handler::Gateway;
@@ -35,13 +36,10 @@
 
 /// Interval of periodic tasks, and delay after a failed receive.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks whether all requests are complete, while the process stops.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between evictions of expired connections and removed backends.
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay from SIGTERM until idle caller connections are closed. The platform has stopped sending
-/// new connections by then, and requests in flight still have time to complete.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_600);
-/// Margin before the end of the grace period at which the process exits in any case.
-const FORCED_END_MARGIN: Duration = Duration::from_millis(300);
 /// Number of gateways assumed while the actual number is unknown. It exceeds that of small
 /// deployments, so that shared limits are not exceeded.
 const ASSUMED_GATEWAYS: usize = 8;
@@ -84,30 +82,63 @@
         tokio::task::spawn_local(ingress::serve_pages(listener, ingress::metrics_page(metrics)));
     }
     let callers = ingress::listen(settings.callers_address)?;
-    let (close, closing) = watch::channel(false);
+    let (phase, phases) = watch::channel(Phase::Serving);
     let open = Rc::new(Cell::new(0));
-    let accepting =
-        ingress::accept_callers(Rc::clone(&gateway), callers, closing, Rc::clone(&open));
+    let accepting = ingress::accept_callers(Rc::clone(&gateway), callers, phases, Rc::clone(&open));
     tokio::task::spawn_local(accepting);
     tokio::task::spawn_local(evict_stale(Rc::clone(&gateway)));
     signals.next().await;
-    log::info!(open = open.get(); "gateway stopping");
     let stopped_at = Instant::now();
-    let end = stopped_at + gateway.settings().common.grace().saturating_sub(FORCED_END_MARGIN);
-    gateway.stop(end);
-    tokio::time::sleep_until((stopped_at + IDLE_CLOSE_DELAY).min(end)).await;
-    log::info!(open = open.get(), in_flight = gateway.in_flight().count();
+    let stop = Stop::begin(gateway.settings().common.grace());
+    let callers = CallerConnections { open, phase };
+    let stop = drain(&gateway, stop, &callers, stopped_at).await;
+    complete(&gateway, stop, &callers, stopped_at).await;
+    Ok(())
+}
+
+/// The open connections of callers.
+struct CallerConnections {
+    open: Rc<Cell<usize>>,
+    phase: watch::Sender<Phase>,
+}
+
+/// Reports not ready and serves all requests until callers have been sent elsewhere.
+async fn drain(
+    gateway: &Gateway,
+    stop: Stop<Draining>,
+    callers: &CallerConnections,
+    stopped_at: Instant,
+) -> Stop<Closing> {
+    log::info!(open = callers.open.get(), in_flight = gateway.in_flight().count();
+        "gateway stopping");
+    gateway.stop(stopped_at, Acceptance::from(&stop));
+    tokio::time::sleep_until(stopped_at + stop.drains_for()).await;
+    stop.close()
+}
+
+/// Waits for the requests in flight, then closes all connections.
+async fn complete(
+    gateway: &Gateway,
+    stop: Stop<Closing>,
+    callers: &CallerConnections,
+    stopped_at: Instant,
+) {
+    log::info!(open = callers.open.get(), in_flight = gateway.in_flight().count();
         "closing caller connections");
-    if close.send(true).is_err() {
-        log::debug!("no caller connection is open");
-    }
-    while open.get() > 0 && Instant::now() < end {
-        tokio::time::sleep(TICK_INTERVAL).await;
-    }
-    log_cut_off(&gateway, stopped_at);
-    log::info!(open = open.get(), took_ms = stopped_at.elapsed().as_millis() as u64;
+    let exit_at = stopped_at + stop.exits_after();
+    callers.phase.send_replace(Phase::Closing);
+    wait_for_zero(|| gateway.in_flight().count(), exit_at).await;
+    callers.phase.send_replace(Phase::Closed);
+    wait_for_zero(|| callers.open.get(), exit_at).await;
+    log_cut_off(gateway, stopped_at);
+    log::info!(open = callers.open.get(), took_ms = stopped_at.elapsed().as_millis() as u64;
         "gateway stopped");
-    Ok(())
+}
+
+async fn wait_for_zero(count: impl Fn() -> usize, end: Instant) {
+    while count() > 0 && Instant::now() < end {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
 }
 
 /// Logs the requests that the exit of the process cuts off.
--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -30,22 +30,40 @@
 /// Interval between checks for idle connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Accepts caller connections until the process exits.
+/// What happens to the connections of callers while the process serves and stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Connections are accepted and kept open.
+    Serving,
+    /// Connections accepted so far are closed once idle. A new connection serves one request.
+    Closing,
+    /// No connection is accepted, and all are closed once idle.
+    Closed,
+}
+
+/// Accepts caller connections until the phase is `Closed`, then closes the listener.
 pub async fn accept_callers(
     gateway: Rc<Gateway>,
     listener: TcpListener,
-    closing: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
     open_connections: Rc<Cell<usize>>,
 ) {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let accepted = tokio::select! {
+            biased;
+            _ = phase.wait_for(|&phase| phase == Phase::Closed) => return,
+            accepted = accept(&listener) => accepted,
+        };
+        let Some(stream) = accepted else {
             continue;
         };
-        let (gateway, closing) = (Rc::clone(&gateway), closing.clone());
+        let gateway = Rc::clone(&gateway);
+        let mut phase = phase.clone();
+        phase.mark_unchanged();
         let open_connections = Rc::clone(&open_connections);
         tokio::task::spawn_local(async move {
             open_connections.set(open_connections.get() + 1);
-            serve_caller(gateway, stream, closing).await;
+            serve_caller(gateway, stream, phase).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
@@ -89,7 +107,7 @@
     }
 }
 
-async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
     let limits = gateway.caller_limits();
     let idle_limit = Duration::from_millis(limits.idle_timeout_ms);
     let activity = Rc::new(ConnectionActivity {
@@ -120,11 +138,9 @@
                 }
                 return;
             }
-            changed = closing.changed() => {
-                if changed.is_err() || *closing.borrow() {
-                    connection.as_mut().graceful_shutdown();
-                    break;
-                }
+            _ = phase.changed() => {
+                connection.as_mut().graceful_shutdown();
+                break;
             }
             _ = idle_check.tick() => {
                 let is_idle = activity.active_requests.get() == 0;
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -14,6 +14,7 @@
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
+use currantlink_core::stop::Acceptance;
 use currantlink_platform::request::{self, RequestMetadata};
 use http::{HeaderMap, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -48,8 +49,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
     in_flight: InFlightRequests,
-    /// Time at which the process exits, once it is shutting down.
-    exit_at: Cell<Option<Instant>>,
+    /// Time of the stop signal and what is accepted since.
+    stopping: Cell<Option<(Instant, Acceptance)>>,
 }
 
 /// State derived from traffic, such as retry shares, backend health and response times.
@@ -122,7 +123,7 @@
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
             in_flight: InFlightRequests::default(),
-            exit_at: Cell::new(None),
+            stopping: Cell::new(None),
         }
     }
 
@@ -143,24 +144,19 @@
 
     /// Returns whether the process is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.exit_at.get().is_some()
+        self.stopping.get().is_some()
     }
 
-    /// Marks the process as shutting down until it exits at `exit_at`.
-    pub fn stop(&self, exit_at: Instant) {
-        self.exit_at.set(Some(exit_at));
+    /// Marks the process as shutting down since `stopped_at`.
+    pub fn stop(&self, stopped_at: Instant, acceptance: Acceptance) {
+        self.stopping.set(Some((stopped_at, acceptance)));
     }
 
-    /// Returns whether a request would probably be cut off by the exit of the process.
-    fn is_exit_too_near(&self, call: &Call) -> bool {
-        let Some(exit_at) = self.exit_at.get() else {
-            return false;
-        };
-        let left = exit_at.saturating_duration_since(Instant::now());
-        let observations = self.observations.borrow();
-        let durations = observations.durations.get(&call.service().name);
-        left < call.remaining()
-            && !durations.copied().unwrap_or_default().fit(left.as_secs_f64() * MS_PER_S)
+    /// Returns whether a request is accepted although the process may be shutting down.
+    fn accepts(&self, call: &Call) -> bool {
+        self.stopping.get().is_none_or(|(stopped_at, acceptance)| {
+            acceptance.accepts(stopped_at.elapsed(), call.remaining())
+        })
     }
 
     /// Returns whether a configuration is known and the process is not shutting down.
@@ -217,14 +213,9 @@
         arrived_at: Instant,
     ) -> Result<Response<ResponseBody>, Rejection> {
         let call = self.admit(request, metadata, arrived_at).await?;
-        if self.is_exit_too_near(&call) {
+        if !self.accepts(&call) {
             return Err(self.not_run_rejection(&call, NotRunReason::Stopping));
         }
-        if let Some(exit_at) = self.exit_at.get() {
-            let left_ms = exit_at.saturating_duration_since(arrived_at).as_millis() as u64;
-            log::info!(request = call.attempt_id.as_str(), left_ms,
-                deadline_ms = call.remaining().as_millis() as u64; "request accepted while stopping");
-        }
         let mut relay = RetryState::new(call.route().repeat, call.route().attempts);
         let mut tried = Vec::new();
         match call.route().repeat.is_stream() {
