Make the tests of a planned stop independent of timing, and state the stop more plainly

Change: streams are held until the test releases them, and what arrives late is sent once the gateway has logged that it closes its connections. Late streams must get a complete 503 with connection: close and retry-after and must not run; a steady stop must end with no connection open; short_deadline is new. The typestate is no longer Copy.

The margin of the exit is at most a tenth of the grace period.

--- a/core/src/stop.rs
+++ b/core/src/stop.rs
@@ -16,28 +16,28 @@
 /// Maximum share of the grace period that the margin takes.
 const MAX_MARGIN_SHARE: f64 = 0.1;
 
-/// Time that a response takes to reach the caller once the deadline of its request has passed.
+/// Time that a short response takes to reach the caller.
 const RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 /// The process still accepts all requests.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct Draining;
 
 /// The process completes the requests in flight.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct Closing;
 
-/// A stop in progress. All times are relative to the stop signal.
-#[derive(Clone, Copy, Debug)]
-pub struct Stop<Phase> {
+/// A stop in progress, in state `Draining` or `Closing`. All times are relative to the stop signal.
+#[derive(Debug)]
+pub struct Stop<S> {
     grace: Duration,
-    phase: PhantomData<Phase>,
+    state: PhantomData<S>,
 }
 
 impl Stop<Draining> {
     /// Begins a stop that must be complete at the end of the grace period.
     pub fn begin(grace: Duration) -> Self {
-        Self { grace, phase: PhantomData }
+        Self { grace, state: PhantomData }
     }
 
     /// Returns how long all requests are accepted.
@@ -45,13 +45,18 @@
         REROUTE_TIME.min(self.grace.mul_f64(MAX_DRAIN_SHARE))
     }
 
+    /// Returns which requests are accepted, now and while closing.
+    pub fn acceptance(&self) -> Acceptance {
+        Acceptance { drains_for: self.drains_for(), exits_after: self.exits_after() }
+    }
+
     /// Ends the acceptance of requests that could outlast the process.
     pub fn close(self) -> Stop<Closing> {
-        Stop { grace: self.grace, phase: PhantomData }
+        Stop { grace: self.grace, state: PhantomData }
     }
 }
 
-impl<Phase> Stop<Phase> {
+impl<S> Stop<S> {
     /// Returns when the process exits although requests are still in flight.
     pub fn exits_after(&self) -> Duration {
         self.grace - EXIT_MARGIN.min(self.grace.mul_f64(MAX_MARGIN_SHARE))
@@ -72,9 +77,3 @@
         after_stop < self.drains_for || after_stop + remaining + RESPONSE_TIME <= self.exits_after
     }
 }
-
-impl From<&Stop<Draining>> for Acceptance {
-    fn from(stop: &Stop<Draining>) -> Self {
-        Self { drains_for: stop.drains_for(), exits_after: stop.exits_after() }
-    }
-}
--- a/core/tests/stop.rs
+++ b/core/tests/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use currantlink_core::stop::{Acceptance, Stop};
+use currantlink_core::stop::Stop;
 use proptest::prelude::*;
 
 /// Age after the stop signal from which a request must not be cut off.
@@ -23,7 +23,7 @@
         let arrival = Duration::from_millis(arrival_ms);
         let remaining = Duration::from_millis(remaining_ms);
         let stop = Stop::begin(grace);
-        let is_accepted = Acceptance::from(&stop).accepts(arrival, remaining);
+        let is_accepted = stop.acceptance().accepts(arrival, remaining);
         let exits_after = stop.close().exits_after();
         let is_cut_off = is_accepted && arrival + remaining > exits_after;
         prop_assert!(!is_cut_off || arrival < LATEST_CUT_ARRIVAL);
@@ -41,7 +41,7 @@
 
 #[test]
 fn short_deadlines() {
-    let acceptance = Acceptance::from(&Stop::begin(Duration::from_secs(8)));
+    let acceptance = Stop::begin(Duration::from_secs(8)).acceptance();
     let (short, long) = (Duration::from_secs(1), Duration::from_secs(8));
     assert!(acceptance.accepts(Duration::from_secs(1), long));
     assert!(acceptance.accepts(Duration::from_secs(5), short));
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
-use currantlink_core::stop::{Acceptance, Closing, Draining, Stop};
+use currantlink_core::stop::{Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message};
 use tokio::sync::{mpsc, watch};
@@ -111,7 +111,7 @@
 ) -> Stop<Closing> {
     log::info!(open = callers.open.get(), in_flight = gateway.in_flight().count();
         "gateway stopping");
-    gateway.stop(stopped_at, Acceptance::from(&stop));
+    gateway.stop(stopped_at, stop.acceptance());
     tokio::time::sleep_until(stopped_at + stop.drains_for()).await;
     stop.close()
 }
--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -8,88 +8,108 @@
 
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
-    ClientRequest, ClientResponse, Deployment, STREAM, Shape, get, send_request, wait_until,
+    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, STREAM, Shape, get,
+    send_request, wait_until,
 };
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tempfile::TempDir;
 use tokio::task::JoinHandle;
 
-const SHAPE: Shape = Shape { gateways: 1, ranks: 2, plain_backends: 1, events: 5, grace_s: 5 };
+const CLOSING: &str = "closing caller connections";
 
-async fn start() -> (Deployment, TempDir) {
-    let (deployment, directory) = harness::start(SHAPE).await;
+/// Starts a deployment whose routes and connections allow more time than the grace period.
+async fn start(grace_s: u64) -> (Deployment, TempDir) {
+    let shape = Shape { ranks: 2, grace_s, ..Shape::default() };
+    let (deployment, directory) = harness::start(shape).await;
+    let mut config = deployment::config(2, &[KEY]);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 20_000.into();
+    }
+    config["limits"]["header_timeout_ms"] = 20_000.into();
+    deployment.put_config(&config.to_string());
+    wait_until(|| async { log(&deployment).contains("version=2") }).await;
     let is_served = || async { deployment.send_request("POST", STREAM, "first").await.is_complete };
     wait_until(is_served).await;
     (deployment, directory)
 }
 
-fn stall_streams(deployment: &Deployment, pause: Duration) {
-    deployment.model_backends.iter().for_each(|backend| {
-        backend.queue_faults([Fault::Stall(pause)]);
-    });
+fn log(deployment: &Deployment) -> String {
+    std::fs::read_to_string(deployment.gateways[0].process.log_path()).unwrap()
 }
 
-fn send_stream(deployment: &Deployment, id: &str) -> JoinHandle<ClientResponse> {
+fn queue_stream_fault(deployment: &Deployment, fault: Fault) {
+    deployment.model_backends.iter().for_each(|backend| backend.queue_faults([fault]));
+}
+
+fn send(deployment: &Deployment, request: ClientRequest) -> JoinHandle<ClientResponse> {
     let address = deployment.gateways[0].callers;
-    let request = ClientRequest::new("POST", STREAM, id);
     tokio::spawn(async move { send_request(address, &request).await })
 }
 
-fn signal(deployment: &Deployment, signal: Signal) {
-    let id = deployment.gateways[0].process.id().unwrap();
-    kill(Pid::from_raw(id as i32), signal).unwrap();
+fn send_stream(deployment: &Deployment, id: &str) -> JoinHandle<ClientResponse> {
+    send(deployment, ClientRequest::new("POST", STREAM, id))
 }
 
+/// Sends SIGTERM and waits until the gateway reports not ready.
 async fn stop(deployment: &Deployment) {
-    signal(deployment, Signal::SIGTERM);
+    let id = deployment.gateways[0].process.id().unwrap();
+    kill(Pid::from_raw(id as i32), Signal::SIGTERM).unwrap();
     let readiness = deployment.gateways[0].readiness;
     wait_until(|| async move { get(readiness, "/api/readiness").await != Some(200) }).await;
 }
 
-fn has_run(deployment: &Deployment, id: &str) -> bool {
-    let runs = deployment.model_backends.iter().flat_map(|backend| backend.runs());
-    runs.into_iter().any(|run| run.attempt_id == id)
+/// Stops the gateway while a stream runs, and waits until the gateway closes its connections. The
+/// stream ends with `release_streams`.
+async fn stop_until_closing(deployment: &Deployment) -> JoinHandle<ClientResponse> {
+    queue_stream_fault(deployment, Fault::Hold);
+    let held = send_stream(deployment, "held");
+    wait_until(|| async { has_run(deployment, "held") }).await;
+    stop(deployment).await;
+    wait_until(|| async { log(deployment).contains(CLOSING) }).await;
+    held
+}
+
+/// Lets the held stream end and waits for the exit of the gateway.
+async fn release(deployment: &mut Deployment, held: JoinHandle<ClientResponse>) {
+    deployment.model_backends.iter().for_each(|backend| backend.release_streams());
+    assert!(held.await.unwrap().is_complete);
+    assert!(deployment.gateways[0].process.wait().unwrap());
 }
 
-fn is_cut_off(deployment: &Deployment, id: &str, response: &ClientResponse) -> bool {
-    has_run(deployment, id) && !response.is_complete
+fn has_run(deployment: &Deployment, id: &str) -> bool {
+    let backends = deployment.model_backends.iter().chain(&deployment.plain_backends);
+    backends.flat_map(|backend| backend.runs()).any(|run| run.attempt_id == id)
 }
 
 /// Guards against streams that are accepted late in the grace period and cut off by the exit.
 #[tokio::test]
 async fn late_streams() {
-    let (mut deployment, _directory) = start().await;
-    stall_streams(&deployment, Duration::from_millis(3_800));
-    let early = send_stream(&deployment, "early");
-    wait_until(|| async { has_run(&deployment, "early") }).await;
-    stop(&deployment).await;
-    tokio::time::sleep(Duration::from_millis(3_200)).await;
-    // While the process is paused, the requests arrive together with their connections.
-    signal(&deployment, Signal::SIGSTOP);
+    let (mut deployment, _directory) = start(8).await;
+    let held = stop_until_closing(&deployment).await;
     let late: Vec<_> = (0..6)
         .map(|index| {
-            stall_streams(&deployment, Duration::from_millis(3_000));
+            queue_stream_fault(&deployment, Fault::Hold);
             let id = format!("late-{index}");
             (id.clone(), send_stream(&deployment, &id))
         })
         .collect();
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    signal(&deployment, Signal::SIGCONT);
     for (id, response) in late {
         let response = response.await.unwrap();
-        assert!(!is_cut_off(&deployment, &id, &response), "{id}: {response:?}");
+        assert_eq!((response.code(), response.is_complete), (503, true), "{id}: {response:?}");
+        assert_eq!(response.header("connection"), Some("close"), "{id}: {response:?}");
+        assert!(response.header("retry-after").is_some(), "{id}: {response:?}");
+        assert!(!has_run(&deployment, &id), "{id}");
     }
-    assert!(early.await.unwrap().is_complete);
-    assert!(deployment.gateways[0].process.wait().unwrap());
+    release(&mut deployment, held).await;
 }
 
 /// Guards against a stop that does not end because callers keep connecting.
 #[tokio::test]
 async fn steady_callers() {
-    let (mut deployment, _directory) = start().await;
-    for _ in 0..100 {
-        stall_streams(&deployment, Duration::from_millis(300));
+    let (mut deployment, _directory) = start(8).await;
+    for _ in 0..200 {
+        queue_stream_fault(&deployment, Fault::Stall(Duration::from_millis(300)));
     }
     let mut sent = vec![("before".to_owned(), send_stream(&deployment, "before"))];
     stop(&deployment).await;
@@ -100,9 +120,25 @@
     }
     for (id, response) in sent {
         let response = response.await.unwrap();
-        assert!(!is_cut_off(&deployment, &id, &response), "{id}: {response:?}");
+        let is_cut_off = has_run(&deployment, &id) && !response.is_complete;
+        assert!(!is_cut_off, "{id}: {response:?}");
     }
-    let log = std::fs::read_to_string(deployment.gateways[0].process.log_path()).unwrap();
-    let (_, closing) = log.split_once("closing caller connections").unwrap();
-    assert!(!closing.contains("request placed"), "{closing}");
+    let log = log(&deployment);
+    let (draining, closing) = log.split_once(CLOSING).unwrap();
+    assert!(closing.contains("msg=\"gateway stopped\" open=0"), "{closing}");
+    for line in closing.lines().filter(|line| line.contains("request placed")) {
+        let id = line.split("request=").nth(1).unwrap().split(' ').next().unwrap();
+        assert!(draining.contains(&format!("request={id} ")), "accepted while closing: {line}");
+    }
+}
+
+/// Guards against the rejection of requests that certainly end before the exit.
+#[tokio::test]
+async fn short_deadline() {
+    let (mut deployment, _directory) = start(8).await;
+    let held = stop_until_closing(&deployment).await;
+    let request = ClientRequest { deadline_ms: 500, ..ClientRequest::new("GET", IDEMPOTENT, "r") };
+    let response = send(&deployment, request).await.unwrap();
+    assert_eq!((response.code(), response.is_complete), (200, true), "{response:?}");
+    release(&mut deployment, held).await;
 }
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use crate::lockstep::Lockstep;
 use crate::rank::OrderRefusal;
@@ -47,6 +48,8 @@
     TruncateAfter(u64),
     /// The event stream pauses for this long before its last event.
     Stall(Duration),
+    /// The event stream pauses before its last event until `release_streams` is called.
+    Hold,
 }
 
 /// Record of a request that was run.
@@ -75,6 +78,7 @@
     group: Option<(Lockstep, usize)>,
     events: u64,
     state: Arc<Mutex<State>>,
+    released: watch::Sender<bool>,
 }
 
 #[derive(Default)]
@@ -102,12 +106,24 @@
 impl Backend {
     /// Creates a backend of a plain service.
     pub fn plain(id: &str) -> Self {
-        Self { id: id.to_owned(), group: None, events: 0, state: Arc::default() }
+        Self {
+            id: id.to_owned(),
+            group: None,
+            events: 0,
+            state: Arc::default(),
+            released: watch::Sender::default(),
+        }
     }
 
     /// Creates a rank of a model group whose streams have `events` events.
     pub fn model(id: &str, group: Lockstep, rank: usize, events: u64) -> Self {
-        Self { id: id.to_owned(), group: Some((group, rank)), events, state: Arc::default() }
+        Self {
+            id: id.to_owned(),
+            group: Some((group, rank)),
+            events,
+            state: Arc::default(),
+            released: watch::Sender::default(),
+        }
     }
 
     /// Listens on `address` and returns the bound address; port 0 selects a free port.
@@ -136,6 +152,11 @@
         self.state().faults.extend(faults);
     }
 
+    /// Ends the pause of all streams, also of those that are yet to come.
+    pub fn release_streams(&self) {
+        self.released.send_replace(true);
+    }
+
     /// Returns the requests that were run, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -290,10 +311,10 @@
         let done = async {
             for event in from.unwrap_or(0) + 1..=self.events {
                 group.next_pass().await;
-                if let Fault::Stall(pause) = fault
-                    && event == self.events
-                {
-                    tokio::time::sleep(pause).await;
+                match fault {
+                    Fault::Stall(pause) if event == self.events => tokio::time::sleep(pause).await,
+                    Fault::Hold if event == self.events => self.wait_for_release().await,
+                    _ => {}
                 }
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
@@ -313,6 +334,11 @@
         done
     }
 
+    async fn wait_for_release(&self) {
+        // The sender lives as long as this backend, so the wait cannot fail.
+        let _ = self.released.subscribe().wait_for(|&released| released).await;
+    }
+
     async fn send_report(&self, stream: &mut TcpStream) -> io::Result<bool> {
         let Some((group, rank)) = &self.group else {
             return Ok(false);
