Serve a request on connections that were new when a gateway began to close them

What callers saw: a connection opened shortly before the gateway closes its connections is closed unread, and the caller's only retry is spent, although its request is accepted or rejected at once on any other.

Cause: hyper closes a connection on which nothing was read when it is asked to shut down, and the phase change asked all of them; with an unbiased select, a request that had just arrived was read or not at random. Change: a phase change closes only connections that have served a request; the others serve one, whose response closes them. The connection is polled before the phase. Open connections are counted by a guard from their acceptance on, so that a failure in their task does not hold up the stop.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -129,6 +129,8 @@
     callers.phase.send_replace(Phase::Closing);
     wait_for_zero(|| gateway.in_flight().count(), exit_at).await;
     callers.phase.send_replace(Phase::Closed);
+    // The listener is closed before open connections are counted for the last time.
+    tokio::task::yield_now().await;
     wait_for_zero(|| callers.open.get(), exit_at).await;
     log_cut_off(gateway, stopped_at);
     log::info!(open = callers.open.get(), took_ms = stopped_at.elapsed().as_millis() as u64;
--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -35,7 +35,8 @@
 pub enum Phase {
     /// Connections are accepted and kept open.
     Serving,
-    /// Connections accepted so far are closed once idle. A new connection serves one request.
+    /// Connections that have served a request are closed once idle. The others serve one request, whose
+    /// response closes them.
     Closing,
     /// No connection is accepted, and all are closed once idle.
     Closed,
@@ -60,15 +61,30 @@
         let gateway = Rc::clone(&gateway);
         let mut phase = phase.clone();
         phase.mark_unchanged();
-        let open_connections = Rc::clone(&open_connections);
+        let open_connection = OpenConnection::begin(&open_connections);
         tokio::task::spawn_local(async move {
-            open_connections.set(open_connections.get() + 1);
             serve_caller(gateway, stream, phase).await;
-            open_connections.set(open_connections.get() - 1);
+            drop(open_connection);
         });
     }
 }
 
+/// Counts a connection as open until dropped.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn begin(open_connections: &Rc<Cell<usize>>) -> Self {
+        open_connections.set(open_connections.get() + 1);
+        Self(Rc::clone(open_connections))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     let accepted = listener.accept().await.and_then(|(stream, _)| {
         sockets::configure(&stream)?;
@@ -84,10 +100,11 @@
     }
 }
 
-/// Number of active requests on a connection, and when the last one ended.
+/// Number of active requests on a connection, when the last one ended, and whether there was any.
 struct ConnectionActivity {
     active_requests: Cell<u32>,
     idle_since: Cell<Instant>,
+    is_used: Cell<bool>,
 }
 
 /// Counts a request as active until its response has been sent or dropped.
@@ -96,6 +113,7 @@
 impl ActiveRequest {
     fn begin(activity: &Rc<ConnectionActivity>) -> Self {
         activity.active_requests.set(activity.active_requests.get() + 1);
+        activity.is_used.set(true);
         Self(Rc::clone(activity))
     }
 }
@@ -113,6 +131,7 @@
     let activity = Rc::new(ConnectionActivity {
         active_requests: Cell::new(0),
         idle_since: Cell::new(Instant::now()),
+        is_used: Cell::new(false),
     });
     let service_activity = Rc::clone(&activity);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -132,6 +151,8 @@
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     loop {
         tokio::select! {
+            // A request that has arrived is read before the connection may be closed.
+            biased;
             done = &mut connection => {
                 if let Err(error) = done {
                     log::debug!(error:% = error; "caller connection failed");
@@ -139,8 +160,10 @@
                 return;
             }
             _ = phase.changed() => {
-                connection.as_mut().graceful_shutdown();
-                break;
+                if activity.is_used.get() || *phase.borrow() == Phase::Closed {
+                    connection.as_mut().graceful_shutdown();
+                    break;
+                }
             }
             _ = idle_check.tick() => {
                 let is_idle = activity.active_requests.get() == 0;
--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -8,12 +8,14 @@
 
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
-    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, STREAM, Shape, get,
-    send_request, wait_until,
+    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, STREAM, Shape,
+    encode_request, get, send_request, wait_until,
 };
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 const CLOSING: &str = "closing caller connections";
@@ -132,6 +134,25 @@
     }
 }
 
+/// Guards against connections that are closed before their request is read.
+#[tokio::test]
+async fn slow_connections() {
+    let (mut deployment, _directory) = start(8).await;
+    let address = deployment.gateways[0].callers;
+    let early = TcpStream::connect(address).await.unwrap();
+    let held = stop_until_closing(&deployment).await;
+    let late = TcpStream::connect(address).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for mut connection in [early, late] {
+        let request = encode_request(&ClientRequest::new("POST", STREAM, "slow"));
+        connection.write_all(&request).await.unwrap();
+        let mut response = String::new();
+        connection.read_to_string(&mut response).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    release(&mut deployment, held).await;
+}
+
 /// Guards against the rejection of requests that certainly end before the exit.
 #[tokio::test]
 async fn short_deadline() {
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -459,6 +459,23 @@
     Ok(())
 }
 
+/// Returns a request as the bytes of HTTP/1.1.
+pub fn encode_request(request: &ClientRequest) -> Vec<u8> {
+    let key = request.key.as_ref().map(|key| format!("Authorization: Bearer {key}\r\n"));
+    let head = format!(
+        "{} {} HTTP/1.1\r\nHost: {HOST}\r\n{}: {}\r\n{}: {}\r\n{}Content-Length: {}\r\n\r\n",
+        request.method,
+        request.path,
+        names::ATTEMPT_ID,
+        request.id,
+        names::DEADLINE_MS,
+        request.deadline_ms,
+        key.unwrap_or_default(),
+        request.body.len(),
+    );
+    [head.as_bytes(), &request.body].concat()
+}
+
 /// Sends a GET request; returns the status code, or `None` if no response was received.
 pub async fn get(address: SocketAddr, path: &str) -> Option<u16> {
     let request = ClientRequest { key: None, ..ClientRequest::new("GET", path, "page") };
