Answer the requests without a response before a stopping gateway exits

What callers saw: a request that waits for its backend when the gateway exits ends with a closed connection, which tells nothing, not even whether the gateway read it.

Cause: requests end at their own deadline only; the exit, which may come first, drops them. Streams that run are cut there as well, which nothing can answer, but a request without a response head can be.

--- a/core/src/stop.rs
+++ b/core/src/stop.rs
@@ -61,6 +61,11 @@
     pub fn exits_after(&self) -> Duration {
         self.grace - EXIT_MARGIN.min(self.grace.mul_f64(MAX_MARGIN_SHARE))
     }
+
+    /// Returns when the requests without a response are answered although their outcome is unknown.
+    pub fn answers_after(&self) -> Duration {
+        self.exits_after().saturating_sub(RESPONSE_TIME)
+    }
 }
 
 /// Which requests a stopping process accepts.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -111,7 +111,7 @@
 ) -> Stop<Closing> {
     log::info!(open = callers.open.get(), in_flight = gateway.in_flight().count();
         "gateway stopping");
-    gateway.stop(stopped_at, stop.acceptance());
+    gateway.stop(stopped_at, stop.acceptance(), stopped_at + stop.answers_after());
     tokio::time::sleep_until(stopped_at + stop.drains_for()).await;
     stop.close()
 }
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -20,6 +20,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use indexmap::{IndexMap, IndexSet};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::attempts::{Dispatched, caller_response};
@@ -51,6 +52,8 @@
     in_flight: InFlightRequests,
     /// Time of the stop signal and what is accepted since.
     stopping: Cell<Option<(Instant, Acceptance)>>,
+    /// Time by which requests are answered, once the process is shutting down.
+    answer_by: watch::Sender<Option<Instant>>,
 }
 
 /// State derived from traffic, such as retry shares, backend health and response times.
@@ -124,6 +127,7 @@
             observations: RefCell::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
+            answer_by: watch::Sender::default(),
         }
     }
 
@@ -147,9 +151,38 @@
         self.stopping.get().is_some()
     }
 
-    /// Marks the process as shutting down since `stopped_at`.
-    pub fn stop(&self, stopped_at: Instant, acceptance: Acceptance) {
+    /// Marks the process as shutting down since `stopped_at`. Requests that have no response at
+    /// `answer_by` are answered although their outcome may be unknown.
+    pub fn stop(&self, stopped_at: Instant, acceptance: Acceptance, answer_by: Instant) {
         self.stopping.set(Some((stopped_at, acceptance)));
+        self.answer_by.send_replace(Some(answer_by));
+    }
+
+    /// Waits for the result of a dispatch, or rejects the request shortly before the process exits.
+    async fn before_exit<T>(
+        &self,
+        call: &Call,
+        relay: &mut RetryState,
+        dispatch: impl AsyncFnOnce(&mut RetryState) -> Result<T, Rejection>,
+    ) -> Result<T, Rejection> {
+        let mut answer_by = self.answer_by.subscribe();
+        let exit_is_near = async {
+            let answer_by = answer_by.wait_for(Option::is_some).await.map(|at| *at);
+            match answer_by {
+                Ok(Some(at)) => tokio::time::sleep_until(at).await,
+                // The sender lives as long as the gateway.
+                Ok(None) | Err(_) => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = dispatch(relay) => return result,
+            () = exit_is_near => {}
+        }
+        match relay.dispatches() {
+            0 => Err(self.not_run_rejection(call, NotRunReason::Stopping)),
+            _ => Err(Rejection::ResponseLost),
+        }
     }
 
     /// Returns whether a request is accepted although the process may be shutting down.
@@ -216,11 +249,20 @@
         if !self.accepts(&call) {
             return Err(self.not_run_rejection(&call, NotRunReason::Stopping));
         }
+        if let Some((stopped_at, _)) = self.stopping.get() {
+            let after_stop_ms = stopped_at.elapsed().as_millis() as u64;
+            let remaining_ms = call.remaining().as_millis() as u64;
+            log::info!(request = call.attempt_id.as_str(), after_stop_ms, remaining_ms;
+                "request accepted while stopping");
+        }
         let mut relay = RetryState::new(call.route().repeat, call.route().attempts);
         let mut tried = Vec::new();
         match call.route().repeat.is_stream() {
             true => {
-                let response = self.dispatch(&call, &mut relay, &mut tried, None).await?;
+                let dispatch = async |relay: &mut RetryState| {
+                    self.dispatch(&call, relay, &mut tried, None).await
+                };
+                let response = self.before_exit(&call, &mut relay, dispatch).await?;
                 let response = match response {
                     Dispatched::Response(response) => response,
                     Dispatched::Failure(response) => return Ok(response),
@@ -234,7 +276,12 @@
                 let stream = RelayedStream::new(self, call, relay, tried, response);
                 Ok(caller_response(&head, ResponseBody::from_stream(stream_relay::chunks(stream))))
             }
-            false => self.dispatch_buffered(&call, &mut relay, &mut tried).await,
+            false => {
+                let dispatch = async |relay: &mut RetryState| {
+                    self.dispatch_buffered(&call, relay, &mut tried).await
+                };
+                self.before_exit(&call, &mut relay, dispatch).await
+            }
         }
     }
 
--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -8,7 +8,7 @@
 
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
-    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, STREAM, Shape,
+    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, ONCE, STREAM, Shape,
     encode_request, get, send_request, wait_until,
 };
 use nix::sys::signal::{Signal, kill};
@@ -163,3 +163,16 @@
     assert_eq!((response.code(), response.is_complete), (200, true), "{response:?}");
     release(&mut deployment, held).await;
 }
+
+/// Guards against an exit that closes connections whose request has no response yet.
+#[tokio::test]
+async fn unanswered_request() {
+    let (mut deployment, _directory) = start(3).await;
+    deployment.plain_backends[0].queue_faults([Fault::Hang]);
+    let request = send(&deployment, ClientRequest::new("POST", ONCE, "hangs"));
+    wait_until(|| async { has_run(&deployment, "hangs") }).await;
+    stop(&deployment).await;
+    let response = request.await.unwrap();
+    assert_eq!((response.code(), response.is_complete), (502, true), "{response:?}");
+    assert!(deployment.gateways[0].process.wait().unwrap());
+}
