Soak planned stops: overlapping SIGTERM, SIGHUP and configurations under open connections

Cause: the soak mixes planned and unplanned faults, so that it cannot hold a stopping gateway to answering what it accepted, and its streams take milliseconds.

Change: currantlink-bench stops plays planned work only, with callers that keep their connections until the process has gone and streams of which few are long. What a backend has run must have a complete response, except a stream that arrived within 3 s of SIGTERM and still ran in the last sixth of the grace period.

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -32,6 +32,9 @@
     /// Inject random faults into a small deployment and check its guarantees.
     #[bpaf(command)]
     Soak(#[bpaf(external(soak))] Soak),
+    /// Stop the gateways of a small deployment in overlapping series and check what callers get.
+    #[bpaf(command)]
+    Stops(#[bpaf(external(stops))] Stops),
     /// Run one of the processes that `path` measures.
     #[bpaf(command, hide)]
     Role(#[bpaf(external(role))] Role),
@@ -78,6 +81,23 @@
     pub seconds: u64,
 }
 
+/// Arguments of `stops`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Stops {
+    /// Path of the `currantlinkd` executable.
+    #[bpaf(argument("FILE"), fallback("target/release/currantlinkd".into()))]
+    pub program: PathBuf,
+    /// First seed.
+    #[bpaf(argument("N"), fallback(1))]
+    pub seed: u64,
+    /// Number of seeds.
+    #[bpaf(argument("N"), fallback(10))]
+    pub seeds: u64,
+    /// Duration of the stops for each seed.
+    #[bpaf(argument("S"), fallback(20))]
+    pub seconds: u64,
+}
+
 /// Arguments of `path`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Path {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod rules;
 pub mod slopes;
 pub mod soak;
+pub mod stops;
 pub mod trace;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use currantlink_bench::args::{self, Args};
 use currantlink_bench::error::BenchError;
-use currantlink_bench::{experts, path, placement, platform, routing, slopes, soak};
+use currantlink_bench::{experts, path, placement, platform, routing, slopes, soak, stops};
 
 fn main() -> ExitCode {
     match run(args::parse()) {
@@ -26,6 +26,7 @@
         Args::Placement(options) => placement::run(&options),
         Args::Platform(options) => platform::run(&options),
         Args::Soak(options) => soak::run(&options),
+        Args::Stops(options) => stops::run(&options),
         Args::Role(role) => path::role(&role),
     }
 }
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -46,10 +46,25 @@
 /// Fails with the number of seeds that violated a guarantee, or if a deployment cannot be started.
 pub fn run(options: &Soak) -> Result<(), BenchError> {
     let runtime = tokio::runtime::Runtime::new()?;
+    run_seeds(options.seed..options.seed + options.seeds, |directory, seed| {
+        runtime.block_on(soak(options, directory, seed))
+    })
+}
+
+/// Runs `test` with each seed in a directory of its own and prints the violations that it returns.
+/// The directory of a seed with violations is kept.
+///
+/// # Errors
+///
+/// Fails with the number of seeds with violations, or if `test` fails.
+pub fn run_seeds(
+    seeds: impl IntoIterator<Item = u64>,
+    mut test: impl FnMut(&Path, u64) -> Result<Vec<String>, BenchError>,
+) -> Result<(), BenchError> {
     let mut failed_seeds = 0;
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in seeds {
         let directory = tempfile::tempdir()?;
-        let violations = runtime.block_on(soak(options, directory.path(), seed))?;
+        let violations = test(directory.path(), seed)?;
         let verdict = if violations.is_empty() { "kept" } else { "BROKEN" };
         line(format!("seed {seed}: {verdict}"))?;
         violations.iter().try_for_each(|violation| line(format!("  {violation}")))?;
@@ -172,7 +187,12 @@
     gateways.chain(deployment.agents.iter_mut())
 }
 
-fn signal(process: &Process, signal: Signal) -> Result<(), BenchError> {
+/// Sends a signal to a process, if it runs.
+///
+/// # Errors
+///
+/// Fails if the signal cannot be sent.
+pub fn signal(process: &Process, signal: Signal) -> Result<(), BenchError> {
     match process.id().map(|id| kill(Pid::from_raw(id as i32), signal)) {
         Some(Err(error)) => Err(BenchError::Io(error.into())),
         _ => Ok(()),
@@ -186,7 +206,11 @@
 }
 
 /// Restarts exited processes, as the platform does, and returns how many of them had failed.
-fn restart_ended(deployment: &mut Deployment) -> Result<u32, BenchError> {
+///
+/// # Errors
+///
+/// Fails if the status of a process cannot be read or a process cannot be started.
+pub fn restart_ended(deployment: &mut Deployment) -> Result<u32, BenchError> {
     let mut failed = 0;
     for process in processes(deployment) {
         failed += u32::from(process.has_failed()?);
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -12,9 +12,11 @@
 use currantlink_platform::names;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::backends::{Backend, EXPERTS};
 use crate::lockstep::Lockstep;
@@ -409,54 +411,93 @@
     }
 }
 
-/// Sends a request on a new connection.
-///
-/// If no response is received, the body of the result is the error text.
-pub async fn send_request(address: SocketAddr, request: &ClientRequest) -> ClientResponse {
-    let mut response = ClientResponse::default();
-    if let Err(error) = exchange(address, request, &mut response).await {
-        response.is_complete = false;
-        if response.status.is_none() {
-            response.body = error.to_string().into_bytes();
+/// Connection of a client, which may be used for several requests.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<hyper::Result<()>>,
+}
+
+impl Connection {
+    /// Connects to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is refused.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        Ok(Self { sender, driver: tokio::spawn(connection) })
+    }
+
+    /// Returns whether the gateway has not closed the connection, as far as is known.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request and returns the response.
+    ///
+    /// If no response is received, the body of the result is the error text.
+    pub async fn send(&mut self, request: &ClientRequest) -> ClientResponse {
+        let mut response = ClientResponse::default();
+        if let Err(error) = self.exchange(request, &mut response).await {
+            response.is_complete = false;
+            if response.status.is_none() {
+                response.body = error.to_string().into_bytes();
+            }
         }
+        response
     }
-    response
-}
 
-async fn exchange(
-    address: SocketAddr,
-    request: &ClientRequest,
-    response: &mut ClientResponse,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::spawn(connection);
-    let mut builder = Request::builder()
-        .method(request.method.as_str())
-        .uri(&request.path)
-        .header(http::header::HOST, HOST)
-        .header(names::ATTEMPT_ID, &request.id)
-        .header(names::DEADLINE_MS, request.deadline_ms);
-    if let Some(key) = &request.key {
-        builder = builder.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+    async fn exchange(
+        &mut self,
+        request: &ClientRequest,
+        response: &mut ClientResponse,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+        let mut builder = Request::builder()
+            .method(request.method.as_str())
+            .uri(&request.path)
+            .header(http::header::HOST, HOST)
+            .header(names::ATTEMPT_ID, &request.id)
+            .header(names::DEADLINE_MS, request.deadline_ms);
+        if let Some(key) = &request.key {
+            builder = builder.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if let Some(id) = request.last_event_id {
+            builder = builder.header(names::LAST_EVENT_ID, id);
+        }
+        self.sender.ready().await?;
+        let sent = self.sender.send_request(builder.body(Full::new(request.body.clone()))?).await;
+        let (head, mut body) = sent?.into_parts();
+        response.status = Some(head.status);
+        response.headers = head.headers;
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                response.body.extend_from_slice(&data);
+            }
+        }
+        response.is_complete = true;
+        Ok(())
     }
-    if let Some(id) = request.last_event_id {
-        builder = builder.header(names::LAST_EVENT_ID, id);
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
     }
-    let result = sender.send_request(builder.body(Full::new(request.body.clone()))?).await;
-    let (head, mut body) = result?.into_parts();
-    response.status = Some(head.status);
-    response.headers = head.headers;
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            response.body.extend_from_slice(&data);
+}
+
+/// Sends a request on a new connection.
+///
+/// If no response is received, the body of the result is the error text.
+pub async fn send_request(address: SocketAddr, request: &ClientRequest) -> ClientResponse {
+    match Connection::open(address).await {
+        Ok(mut connection) => connection.send(request).await,
+        Err(error) => {
+            ClientResponse { body: error.to_string().into_bytes(), ..ClientResponse::default() }
         }
     }
-    response.is_complete = true;
-    driver.abort();
-    Ok(())
 }
 
 /// Returns a request as the bytes of HTTP/1.1.
