Test calls that arrive at a side which has decided to exit

The test fails on current code, because a side that is stopping and idle exits only 0.3 s later and admits ticketed calls in between: the call runs at the backend and is cut off.

--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -67,6 +67,11 @@
         self.child = Some(child);
     }
 
+    /// Returns the path of the settings file.
+    pub fn settings_path(&self) -> &std::path::Path {
+        &self.settings
+    }
+
     pub fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().unwrap().id();
         kill(Pid::from_raw(id as i32), signal).unwrap();
--- /dev/null
+++ b/daemon/tests/side_stop.rs
@@ -0,0 +1,49 @@
+//! Calls at a side that stops.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Daemon, System, Topology};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+/// Longer than the time for which a side waits for the call of a ticket.
+const TICKET_WAIT: Duration = Duration::from_millis(2_200);
+/// Longer than an idle side takes to decide that it exits, and shorter than until it exits.
+const IDLE_WAIT: Duration = Duration::from_millis(100);
+
+fn set(daemon: &mut Daemon, values: &Value) {
+    daemon.kill();
+    let path = daemon.settings_path();
+    let mut settings: Value = serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap();
+    settings.as_object_mut().unwrap().extend(values.as_object().unwrap().clone());
+    std::fs::write(path, settings.to_string()).unwrap();
+    daemon.start();
+}
+
+async fn start(call_ms: u64, side: Value, entry: Value) -> System {
+    let mut system = System::start(Topology { call_ms, ..Topology::default() }).await;
+    set(&mut system.sides[0], &side);
+    set(&mut system.entries[0], &entry);
+    system.wait_ready().await;
+    system
+}
+
+async fn stop_side(system: &System) {
+    system.sides[0].signal(Signal::SIGTERM);
+    system.wait_for(0, |backends| backends[0]["draining"] == true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_side_takes_no_call() {
+    let system = start(1_500, json!({}), json!({})).await;
+    let ticket = system.ticket(0).await;
+    tokio::time::sleep(TICKET_WAIT).await;
+    stop_side(&system).await;
+    tokio::time::sleep(IDLE_WAIT).await;
+    let reply = system.present(0, &ticket, "late").await.unwrap();
+    let is_answered = reply.outcome() == "answered";
+    assert!(is_answered || system.runs_of("late") == 0, "run and cut off: {reply:?}");
+}
