Close the gate of a side before the side exits

What callers saw: a ticketed call that reached a stopping side in its last 0.3 s ran at the backend and got 504 with outcome unknown, so that it could not be repeated. Cause: an idle side decides to exit and then waits for its links to send the last frames. In this time the gate still admitted calls with a ticket, up to 2 s after SIGTERM. The idle state was also published before SIGTERM, while a side drained for another reason, and could be one tick old. Why this works: the gate is closed for good in the same step that finds it idle, and the process exits only then. A call that arrives later is refused as not run and can be repeated elsewhere.

--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -54,6 +54,7 @@
     tombstones: usize,
     us_per_token: u64,
     draining_since_ms: Option<u64>,
+    is_closed: bool,
     last_mint_ms: Option<u64>,
 }
 
@@ -73,6 +74,7 @@
             tombstones: 0,
             us_per_token: limits.us_per_token.max(1),
             draining_since_ms: None,
+            is_closed: false,
             last_mint_ms: None,
         }
     }
@@ -129,6 +131,13 @@
         self.is_draining() && !has_outstanding_tickets && self.running == 0 && self.queue.is_empty()
     }
 
+    /// Closes the gate for good if the side can stop. Returns whether it is closed: no call is
+    /// admitted any more, so that the process can exit.
+    pub fn close_if_idle(&mut self, now_ms: u64) -> bool {
+        self.is_closed |= self.can_stop(now_ms);
+        self.is_closed
+    }
+
     /// Mints a ticket for a non-idempotent call.
     ///
     /// # Errors
@@ -306,7 +315,7 @@
         let workspace = &submission.key.workspace;
         let in_flight = self.in_flight.get(workspace).copied().unwrap_or(0);
         match self.draining_since_ms {
-            Some(_) if !has_ticket => return Err(Refusal::Draining),
+            Some(_) if !has_ticket || self.is_closed => return Err(Refusal::Draining),
             Some(since) if now_ms >= since + TICKET_DRAIN_MS => return Err(Refusal::Draining),
             _ => {}
         }
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -66,7 +66,7 @@
     let metrics = telemetry::install_metrics()?;
     let listener = bind(settings.link_address).await?;
     let view: Arc<ArcSwap<SideView>> = Arc::default();
-    let (idle, mut idle_changes) = watch::channel(false);
+    let (closed, mut closing) = watch::channel(false);
     let (events, queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let client = BackendClient::new(&settings.backend_url);
     let setup = ControlSetup {
@@ -77,7 +77,7 @@
         client: client.clone(),
         traffic,
         view: Arc::clone(&view),
-        idle,
+        closed,
     };
     let own_events = events.clone();
     control_thread(move || SideControl::new(setup, own_events).run(queue))?;
@@ -109,7 +109,7 @@
     log::info!("side stopping");
     send_event(&shared.events, Event::Drain(DrainReason::Stop, true)).await;
     tokio::select! {
-        _ = idle_changes.wait_for(|idle| *idle) => {}
+        _ = closing.wait_for(|closed| *closed) => {}
         () = signals.next() => log::warn!("second stop signal received; stopping immediately"),
         () = tokio::time::sleep(shared.settings.grace()) => {
             log::warn!("grace period expired; stopping immediately");
--- a/daemon/src/side_control.rs
+++ b/daemon/src/side_control.rs
@@ -103,8 +103,8 @@
     pub traffic: Handle,
     /// Receives the published state.
     pub view: Arc<ArcSwap<SideView>>,
-    /// Signals whether the side is draining and has no work left.
-    pub idle: watch::Sender<bool>,
+    /// Signals that the process is stopping and its gate is closed.
+    pub closed: watch::Sender<bool>,
 }
 
 struct Job {
@@ -163,10 +163,12 @@
         let commands = self.setup.gate.tick(now_ms);
         self.execute(commands);
         self.publish();
-        self.setup.idle.send_if_modified(|idle| {
-            let stoppable = self.setup.gate.can_stop(now_ms);
-            std::mem::replace(idle, stoppable) != stoppable
-        });
+        if self.drain_reasons.contains(&DrainReason::Stop) {
+            let is_closed = self.setup.gate.close_if_idle(now_ms);
+            self.setup
+                .closed
+                .send_if_modified(|closed| std::mem::replace(closed, is_closed) != is_closed);
+        }
     }
 
     fn handle(&mut self, event: Event) {
