Test calls at a stopping side that its grace period does not cover

The tests fail on current code, because a stopping side admits and starts calls whose deadline lies after its exit: they run and are cut off, and calls still queued at the exit, which never ran, are reported with outcome unknown.

--- a/daemon/tests/side_stop.rs
+++ b/daemon/tests/side_stop.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{Daemon, System, Topology};
@@ -47,3 +48,32 @@
     let is_answered = reply.outcome() == "answered";
     assert!(is_answered || system.runs_of("late") == 0, "run and cut off: {reply:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_beyond_grace() {
+    let system = start(4_000, json!({ "grace_ms": 1_500 }), json!({})).await;
+    let ticket = system.ticket(0).await;
+    stop_side(&system).await;
+    let reply = system.present(0, &ticket, "long").await.unwrap();
+    let is_answered = reply.outcome() == "answered";
+    assert!(is_answered || system.runs_of("long") == 0, "run and cut off: {reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn queued_beyond_grace() {
+    let side = json!({ "grace_ms": 3_000, "max_running": 1 });
+    let system = Arc::new(start(2_000, side, json!({})).await);
+    let mut calls = Vec::new();
+    for body in ["first", "second", "third", "fourth"] {
+        let (system, ticket) = (Arc::clone(&system), system.ticket(0).await);
+        let call = async move { system.present(0, &ticket, body).await.unwrap().outcome() };
+        calls.push((body, tokio::spawn(call)));
+    }
+    system.wait_for(0, |backends| backends[0]["running"] == 1 && backends[0]["queued"] == 3).await;
+    stop_side(&system).await;
+    for (body, call) in calls {
+        let outcome = call.await.unwrap();
+        let expected = if system.runs_of(body) == 0 { "not-run" } else { "answered" };
+        assert_eq!(outcome, expected, "{body}");
+    }
+}
