Refuse calls at a stopping side whose deadline lies after its exit

What callers saw: ticketed calls that reached a stopping side, or that were queued there, were run and cut off at the end of the grace period; calls that had never run got 504 with outcome unknown. Cause: the gate of a stopping side admitted ticketed calls and started queued ones without regard to the time left until the process exits. Why this works: the gate knows when the process exits and takes or keeps only calls whose deadline lies before. The others are refused as not run at once and can be repeated elsewhere. A bound is used, not an estimate. Calls that already ran at SIGTERM are not affected.

--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -54,6 +54,7 @@
     tombstones: usize,
     us_per_token: u64,
     draining_since_ms: Option<u64>,
+    exit_at_ms: Option<u64>,
     is_closed: bool,
     last_mint_ms: Option<u64>,
 }
@@ -74,6 +75,7 @@
             tombstones: 0,
             us_per_token: limits.us_per_token.max(1),
             draining_since_ms: None,
+            exit_at_ms: None,
             is_closed: false,
             last_mint_ms: None,
         }
@@ -131,6 +133,14 @@
         self.is_draining() && !has_outstanding_tickets && self.running == 0 && self.queue.is_empty()
     }
 
+    /// Sets the time at which the process exits in any case. Refuses queued calls whose deadline lies
+    /// after it, and from then on admits none: the exit might cut them off while they run.
+    pub fn set_exit(&mut self, now_ms: u64, exit_at_ms: u64) -> Vec<Command> {
+        self.exit_at_ms = Some(exit_at_ms);
+        let removed = self.queue.remove_due_after(exit_at_ms);
+        self.refuse_removed(now_ms, removed, Refusal::Draining)
+    }
+
     /// Closes the gate for good if the side can stop. Returns whether it is closed: no call is
     /// admitted any more, so that the process can exit.
     pub fn close_if_idle(&mut self, now_ms: u64) -> bool {
@@ -317,6 +327,7 @@
         match self.draining_since_ms {
             Some(_) if !has_ticket || self.is_closed => return Err(Refusal::Draining),
             Some(since) if now_ms >= since + TICKET_DRAIN_MS => return Err(Refusal::Draining),
+            Some(_) if self.is_due_after_exit(now_ms, submission) => return Err(Refusal::Draining),
             _ => {}
         }
         if in_flight >= submission.workspace_limit {
@@ -333,6 +344,11 @@
         if has_capacity { Ok(None) } else { self.find_displaceable(submission).map(Some) }
     }
 
+    fn is_due_after_exit(&self, now_ms: u64, submission: &Submission) -> bool {
+        let deadline_ms = now_ms.saturating_add(submission.remaining_ms);
+        self.exit_at_ms.is_some_and(|exit_at_ms| deadline_ms > exit_at_ms)
+    }
+
     /// Returns the newest queued call of the workspace with the most load, to be displaced by a
     /// call of a workspace with less load.
     fn find_displaceable(&self, submission: &Submission) -> Result<CallKey, Refusal> {
@@ -427,13 +443,20 @@
 
     fn expire_queued(&mut self, now_ms: u64) -> Vec<Command> {
         let expired = self.queue.expire(now_ms);
-        expired
-            .into_iter()
-            .map(|queued| {
-                self.mark_not_run(now_ms, &queued.key);
-                Command::Refuse(queued.key, self.refused(Refusal::Deadline))
-            })
-            .collect()
+        self.refuse_removed(now_ms, expired, Refusal::Deadline)
+    }
+
+    fn refuse_removed(
+        &mut self,
+        now_ms: u64,
+        removed: Vec<QueuedCall>,
+        reason: Refusal,
+    ) -> Vec<Command> {
+        let refuse = |queued: QueuedCall| {
+            self.mark_not_run(now_ms, &queued.key);
+            Command::Refuse(queued.key, self.refused(reason))
+        };
+        removed.into_iter().map(refuse).collect()
     }
 
     fn cancel_orphans(&mut self, now_ms: u64) -> Vec<Command> {
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -116,9 +116,18 @@
 
     /// Removes and returns all calls whose deadline has passed.
     pub fn expire(&mut self, now_ms: u64) -> Vec<QueuedCall> {
-        let expired = self.entries.values().filter(|e| e.call.deadline_ms <= now_ms);
-        let expired: Vec<CallKey> = expired.map(|e| e.call.key.clone()).collect();
-        expired.iter().filter_map(|key| self.remove(key)).collect()
+        self.remove_all(|call| call.deadline_ms <= now_ms)
+    }
+
+    /// Removes and returns all calls whose deadline lies after `end_ms`.
+    pub fn remove_due_after(&mut self, end_ms: u64) -> Vec<QueuedCall> {
+        self.remove_all(|call| call.deadline_ms > end_ms)
+    }
+
+    fn remove_all(&mut self, is_removed: impl Fn(&QueuedCall) -> bool) -> Vec<QueuedCall> {
+        let removed = self.entries.values().filter(|e| is_removed(&e.call));
+        let removed: Vec<CallKey> = removed.map(|e| e.call.key.clone()).collect();
+        removed.iter().filter_map(|key| self.remove(key)).collect()
     }
 
     fn next_key(&self, now_ms: u64) -> Option<CallKey> {
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -26,7 +26,7 @@
 use crate::stop::StopSignals;
 use crate::threads::{control_thread, traffic_runtime};
 use crate::uplink::LinkSetup;
-use crate::{conversions, engine, monitor, telemetry};
+use crate::{clock, conversions, engine, monitor, telemetry};
 
 /// Capacity of the control thread's queue, in events.
 const EVENT_QUEUE_CAPACITY: usize = 4_096;
@@ -107,11 +107,13 @@
     let mut signals = StopSignals::listen()?;
     signals.next().await;
     log::info!("side stopping");
-    send_event(&shared.events, Event::Drain(DrainReason::Stop, true)).await;
+    let grace = shared.settings.grace();
+    let exit_at_ms = clock::now_ms().saturating_add(grace.as_millis() as u64);
+    send_event(&shared.events, Event::Stop(exit_at_ms)).await;
     tokio::select! {
         _ = closing.wait_for(|closed| *closed) => {}
         () = signals.next() => log::warn!("second stop signal received; stopping immediately"),
-        () = tokio::time::sleep(shared.settings.grace()) => {
+        () = tokio::time::sleep(grace) => {
             log::warn!("grace period expired; stopping immediately");
         }
     }
--- a/daemon/src/side_control.rs
+++ b/daemon/src/side_control.rs
@@ -64,6 +64,8 @@
     Mint(Outbox, Mint),
     /// A running call has ended after the given time.
     Finished(CallKey, Duration),
+    /// The process received a stop signal and exits at the given time in any case.
+    Stop(u64),
     /// A reason for draining now holds (`true`) or no longer holds (`false`).
     Drain(DrainReason, bool),
     /// Configuration records in log order, each with its offset.
@@ -189,6 +191,11 @@
                 let commands = self.setup.gate.finished(now_ms, &key, time.as_micros() as u64);
                 self.execute(commands);
             }
+            Event::Stop(exit_at_ms) => {
+                let commands = self.setup.gate.set_exit(now_ms, exit_at_ms);
+                self.execute(commands);
+                self.drain(now_ms, DrainReason::Stop, true);
+            }
             Event::Drain(reason, drained) => self.drain(now_ms, reason, drained),
             Event::ConfigRecords(records) => self.apply_records(records),
             Event::ConfigState(state) => self.restore_config(&state),
