Test the response of a stopping side whose link is lost

The test fails on current code, because a side exits 0.3 s after its last call has ended at the backend, while an entry takes a second to notice that its link is dead and to ask again: the response of a call that ran is lost.

--- a/daemon/tests/side_stop.rs
+++ b/daemon/tests/side_stop.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Daemon, System, Topology};
+use common::{Daemon, System, Topology, until};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
@@ -77,3 +77,17 @@
         assert_eq!(outcome, expected, "{body}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_on_lost_link() {
+    let system = Arc::new(start(300, json!({}), json!({ "silence_ms": 1_000 })).await);
+    let ticket = system.ticket(0).await;
+    tokio::time::sleep(TICKET_WAIT).await;
+    let background = Arc::clone(&system);
+    let call = tokio::spawn(async move { background.present(0, &ticket, "once").await.unwrap() });
+    until("the call runs", || system.runs_of("once") == 1).await;
+    system.relays[0].silence();
+    system.sides[0].signal(Signal::SIGTERM);
+    let reply = call.await.unwrap();
+    assert_eq!(reply.outcome(), "answered", "{reply:?}");
+}
