Keep the responses of a stopping side for entries that lost their link

What callers saw: a call that had run got 504 with outcome unknown if the link to its side died shortly before the side stopped. Cause: the side exited 0.3 s after its last call had ended at the backend. An entry notices a silent link after a second by default and only then asks for the response. Why this works: a stopping side closes its gate only 2 s after the end of the last call whose response the entry has not released, within its grace period. Entries release idempotent calls themselves, so only ticketed calls and lost links make the stop longer. An entry with a longer silence_ms is not covered.

--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -17,6 +17,10 @@
 /// Time after the start of draining during which calls with a ticket are still admitted.
 pub const TICKET_DRAIN_MS: u64 = 2_000;
 
+/// Time after the end of a call during which a stopping side keeps its response, unless the entry
+/// cancels the call. An entry takes a second to notice that its link is dead and to ask again.
+pub const RESUME_DRAIN_MS: u64 = 2_000;
+
 const US_PER_MS: u64 = 1_000;
 /// Inverse weight of a new sample in the moving average of the time per token.
 const WORK_RATE_SMOOTHING: u64 = 8;
@@ -36,6 +40,7 @@
     retain_until_ms: u64,
     has_ticket: bool,
     orphaned_at_ms: Option<u64>,
+    ended_at_ms: Option<u64>,
     link: LinkId,
     work_tokens: u32,
 }
@@ -141,13 +146,20 @@
         self.refuse_removed(now_ms, removed, Refusal::Draining)
     }
 
-    /// Closes the gate for good if the side can stop. Returns whether it is closed: no call is
-    /// admitted any more, so that the process can exit.
+    /// Closes the gate for good if the side can stop and no response has to be kept for an entry that
+    /// lost its link. Returns whether it is closed: no call is admitted any more, so that the process
+    /// can exit.
     pub fn close_if_idle(&mut self, now_ms: u64) -> bool {
-        self.is_closed |= self.can_stop(now_ms);
+        self.is_closed |= self.can_stop(now_ms) && !self.has_recent_responses(now_ms);
         self.is_closed
     }
 
+    fn has_recent_responses(&self, now_ms: u64) -> bool {
+        let is_recent =
+            |call: &Call| call.ended_at_ms.is_some_and(|at| now_ms < at + RESUME_DRAIN_MS);
+        self.calls.values().any(is_recent)
+    }
+
     /// Mints a ticket for a non-idempotent call.
     ///
     /// # Errors
@@ -267,6 +279,7 @@
             return Vec::new();
         };
         call.state = State::Done;
+        call.ended_at_ms = Some(now_ms);
         call.retain_until_ms = call.retain_until_ms.max(now_ms + self.limits.retention_ms);
         let work_tokens = u64::from(call.work_tokens);
         self.running -= 1;
@@ -541,8 +554,15 @@
         link: LinkId,
         work_tokens: u32,
     ) {
-        let call =
-            Call { state, retain_until_ms, has_ticket, orphaned_at_ms: None, link, work_tokens };
+        let call = Call {
+            state,
+            retain_until_ms,
+            has_ticket,
+            orphaned_at_ms: None,
+            ended_at_ms: None,
+            link,
+            work_tokens,
+        };
         self.calls.insert(key, call);
     }
 
