Keep entries and sides running on SIGHUP

What callers saw: SIGHUP to an entry or a side closed every connection in the middle of its response. Cause: the two roles had no handler, and the default action of the signal ends the process. Why this works: the handler is installed before anything listens; it logs that settings take effect after a restart.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -12,7 +12,7 @@
 use crate::error::DaemonError;
 use crate::link::Identity;
 use crate::settings::Entry;
-use crate::stop::StopSignals;
+use crate::stop::{self, StopSignals};
 use crate::threads::traffic_runtime;
 use crate::uplink::LinkSetup;
 use crate::{callers, operators, telemetry};
@@ -32,6 +32,7 @@
 }
 
 async fn serve(settings: Entry, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
+    stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let identity =
         Identity { name: settings.name().to_owned(), process_id: rand::random(), generation: 0 };
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -23,7 +23,7 @@
 use crate::platform::PlatformClient;
 use crate::settings::{LinkTiming, Side};
 use crate::side_control::{ControlSetup, DrainReason, Event, Outbox, SideControl, SideView};
-use crate::stop::StopSignals;
+use crate::stop::{self, StopSignals};
 use crate::threads::{control_thread, traffic_runtime};
 use crate::uplink::LinkSetup;
 use crate::{clock, conversions, engine, monitor, telemetry};
@@ -63,6 +63,7 @@
 
 async fn serve(settings: Side, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
     let incarnation: u64 = rand::random::<u64>().max(1);
+    stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let listener = bind(settings.link_address).await?;
     let view: Arc<ArcSwap<SideView>> = Arc::default();
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -1,4 +1,4 @@
-//! Signals that stop the process.
+//! Signals that stop the process, and SIGHUP, which must not.
 
 use std::io;
 
@@ -31,3 +31,18 @@
         }
     }
 }
+
+/// Installs a handler for SIGHUP, which would end the process otherwise, and logs each signal.
+///
+/// # Errors
+///
+/// Fails if the handler cannot be installed.
+pub fn ignore_hangups() -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log::info!("SIGHUP ignored; changed settings take effect after a restart");
+        }
+    });
+    Ok(())
+}
