Test streams of an entry that are cut off

body_without_source fails on current code, because a streamed body whose source is dropped ends like a complete one.

--- a/daemon/tests/entry_stop.rs
+++ b/daemon/tests/entry_stop.rs
@@ -6,11 +6,19 @@
 use std::sync::Arc;
 
 use common::{System, Topology, until};
+use currantlink_daemon::call::{CallBody, CallResponse};
+use currantlink_daemon::reply;
+use currantlink_wire::link::Head;
+use http_body_util::BodyExt;
 use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+const STREAMS: usize = 32;
+const CONTINUE: [u8; 25] = *b"HTTP/1.1 100 Continue\r\n\r\n";
+
 async fn start_streams(system: &Arc<System>, count: usize) -> Vec<JoinHandle<Option<bool>>> {
     let streams = (0..count).map(|_| {
         let system = Arc::clone(system);
@@ -40,15 +48,42 @@
     }
 }
 
-/// Sends the head and a part of the body of a call and returns the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream_looks_incomplete() {
+    let system = engine().await;
+    let streams = start_streams(&system, STREAMS).await;
+    system.entries[0].signal(Signal::SIGTERM);
+    system.entries[0].signal(Signal::SIGINT);
+    for stream in streams {
+        assert_ne!(stream.await.unwrap(), Some(false), "a stream that was cut off looks complete");
+    }
+}
+
+/// The task that fills a body is dropped, for example at the forced end of the process.
+#[tokio::test]
+async fn body_without_source() {
+    let (sender, chunks) = mpsc::channel(1);
+    drop(sender);
+    let head = Head { status: 200, headers: Vec::new() };
+    let response = CallResponse { head, body: CallBody::Streamed(chunks) };
+    let response = reply::call_response(response, "request").unwrap();
+    assert!(response.into_body().collect().await.is_err(), "the body looks complete");
+}
+
+/// Sends the head and a part of the body of a call, and returns the connection once the entry reads
+/// the body.
 async fn begin_call(system: &System, ticket: &str) -> TcpStream {
     let address = system.entry_urls[0].trim_start_matches("http://");
     let mut stream = TcpStream::connect(address).await.unwrap();
     let head = format!(
-        "POST {ticket} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\ncontent-length: 8\r\n\r\nhalf",
+        "POST {ticket} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\ncontent-length: 8\r\nexpect: 100-continue\r\n\r\n",
         common::TOKEN
     );
     stream.write_all(head.as_bytes()).await.unwrap();
+    let mut interim = [0; CONTINUE.len()];
+    stream.read_exact(&mut interim).await.unwrap();
+    assert_eq!(interim, CONTINUE);
+    stream.write_all(b"half").await.unwrap();
     stream
 }
 
