End a streamed body as complete only after its last chunk

What callers saw: when an entry was ended by force (second signal or end of the grace period), some of the streams that it cut off looked complete: a 200 with a proper last chunk and without the last events. Cause: the body took a closed channel for its end. At the end of the process the task that fills the channel may be dropped while another thread still writes the response. Why this works: the end of the response is sent through the channel; a channel that closes without it is an incomplete body, which makes the server close the connection without the last chunk.

--- a/daemon/src/call.rs
+++ b/daemon/src/call.rs
@@ -80,14 +80,15 @@
     pub last_end: AttemptEnd,
 }
 
-/// A chunk of a streamed response body. An error ends the stream as incomplete.
-pub type BodyChunk = Result<Bytes, CallError>;
+/// A chunk of a streamed response body, or `None` at its end. An error ends the stream as incomplete.
+pub type BodyChunk = Result<Option<Bytes>, CallError>;
 
 /// Body of a response.
 pub enum CallBody {
     /// Complete body, verified before it is forwarded.
     Buffered(Bytes),
-    /// Chunks, each verified before it is forwarded.
+    /// Chunks, each verified before it is forwarded. A channel that closes before the end is an
+    /// incomplete body.
     Streamed(mpsc::Receiver<BodyChunk>),
 }
 
@@ -228,11 +229,16 @@
     loop {
         match attempt.next_chunk().await {
             Ok(Some(data)) => {
-                if sender.send(Ok(data)).await.is_err() {
+                if sender.send(Ok(Some(data))).await.is_err() {
                     return;
                 }
             }
-            Ok(None) => return success.record(),
+            Ok(None) => {
+                success.record();
+                // The send fails if the caller has disconnected.
+                let _ = sender.send(Ok(None)).await;
+                return;
+            }
             Err(end) => {
                 let mut attempts = Attempts::new(attempt.exchange.run_policy(), 0);
                 let next = attempts.attempt_ended(clock::now_ms(), end, true, || false);
--- a/daemon/src/reply.rs
+++ b/daemon/src/reply.rs
@@ -199,7 +199,7 @@
     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let body = match response.body {
         CallBody::Buffered(bytes) => Body::with_content(bytes),
-        CallBody::Streamed(chunks) => Body::wrap(StreamedBody { chunks }),
+        CallBody::Streamed(chunks) => Body::wrap(StreamedBody { chunks, is_done: false }),
     };
     let mut http_response = build(Response::builder().status(status), body)?;
     for header in &response.head.headers {
@@ -278,6 +278,7 @@
 
 struct StreamedBody {
     chunks: mpsc::Receiver<BodyChunk>,
+    is_done: bool,
 }
 
 impl hyper::body::Body for StreamedBody {
@@ -288,10 +289,17 @@
         mut self: std::pin::Pin<&mut Self>,
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        if self.is_done {
+            return std::task::Poll::Ready(None);
+        }
         self.chunks.poll_recv(context).map(|chunk| match chunk {
-            Some(Ok(data)) => Some(Ok(Frame::data(data))),
-            Some(Err(_)) => Some(Err(IncompleteBody)),
-            None => None,
+            Some(Ok(Some(data))) => Some(Ok(Frame::data(data))),
+            Some(Ok(None)) => {
+                self.is_done = true;
+                None
+            }
+            // The source of the chunks is gone, for example at the end of the process.
+            Some(Err(_)) | None => Some(Err(IncompleteBody)),
         })
     }
 }
