Complete the map change of a held group before an agent exits

What callers saw: streams of a model group paused for 0.6 to 2 s when the machine of the leading agent was stopped in the middle of a map change, and ended at their deadline when all agents were stopped then. Cause: an agent exited at once on SIGTERM, although its hold on the group does not expire. Why this works: a stopping agent keeps running while the group is held or its orders are on their way, up to 0.3 s before the end of the grace period. It abandons a change that only prepares its map and starts none. The call of advance in planning got the new argument; its assertions are unchanged.

--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -290,6 +290,13 @@
         version
     }
 
+    /// Abandons a change whose map is still being prepared.
+    pub fn abandon_preparation(&mut self, now_ms: u64) {
+        if matches!(self.phase, Phase::Prepare { .. }) {
+            self.finish(now_ms, ChangeOutcome::Abandoned);
+        }
+    }
+
     /// Sets the map in use, which is required to recover a held group.
     pub fn set_map_in_use(&mut self, map_in_use: Arc<ExpertMap>) {
         self.map_in_use = Some(map_in_use);
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use currantlink_core::demand::CollectedChoices;
@@ -41,6 +42,9 @@
 /// pass takes some tens of milliseconds.
 const STALL_TIMEOUT_MS: u64 = 400;
 
+/// Margin before the end of the grace period at which a stopping agent exits in any case.
+const FORCED_EXIT_MARGIN: Duration = Duration::from_millis(300);
+
 mod leadership;
 
 enum Event {
@@ -52,7 +56,8 @@
     Claimed { fence: u64, group: String },
 }
 
-/// Runs an agent until a stop signal arrives.
+/// Runs an agent until a stop signal arrives, then completes the orders and the map change that its
+/// group waits for. A second stop signal or the end of the grace period stops the agent immediately.
 ///
 /// # Errors
 ///
@@ -94,9 +99,12 @@
     ));
     let mut agent = Agent::new(settings, peers, events, wake, busy_until_ms);
     let mut tick = tokio::time::interval(POLL_INTERVAL);
-    loop {
+    while !agent.can_exit() {
         tokio::select! {
-            () = signals.next() => break,
+            () = signals.next() => match agent.exit_at_ms {
+                None => agent.begin_stop(),
+                Some(_) => break,
+            },
             path = reload.changed() => match deployment_settings::load_agent(&path) {
                 // An agent applies no settings while it runs; the file is only validated, so that
                 // errors are logged before the next restart.
@@ -132,6 +140,9 @@
     leader: Option<KnownLeader>,
     group_leader: Option<GroupLeader>,
     started_ms: u64,
+    /// Time at which the process exits in any case, once it is stopping.
+    exit_at_ms: Option<u64>,
+    order_queued_ms: u64,
     claim_sent_ms: u64,
     heartbeat_sent_ms: u64,
     report_sent_ms: u64,
@@ -165,6 +176,8 @@
             leader: None,
             group_leader: None,
             started_ms: now_ms(),
+            exit_at_ms: None,
+            order_queued_ms: 0,
             claim_sent_ms: 0,
             heartbeat_sent_ms: 0,
             report_sent_ms: 0,
@@ -177,6 +190,22 @@
         }
     }
 
+    fn begin_stop(&mut self) {
+        let grace = self.settings.common.grace().saturating_sub(FORCED_EXIT_MARGIN);
+        self.exit_at_ms = Some(now_ms().saturating_add(grace.as_millis() as u64));
+        log::info!("agent stopping");
+    }
+
+    /// Returns whether the agent is stopping and its group does not wait for it. A hold does not
+    /// expire: a group that is left held makes no passes until another agent takes over.
+    fn can_exit(&self) -> bool {
+        let now = now_ms();
+        let is_awaited = self.group_leader.as_ref().is_some_and(GroupLeader::is_awaited)
+            || self.rank.as_ref().is_some_and(|rank| rank.held_step.is_some())
+            || now < self.order_queued_ms + CHANGE_ACTIVE_MS;
+        self.exit_at_ms.is_some_and(|exit_at_ms| !is_awaited || now >= exit_at_ms)
+    }
+
     fn apply_update(&mut self, update: Update) {
         match update {
             Update::Config(text) => self.configure(&text),
@@ -365,7 +394,8 @@
     /// Queues an order for a backend. After the order is sent, the state of this agent's backend is
     /// read immediately.
     fn send_order(&mut self, order: Order, backend: SocketAddr) {
-        let until = now_ms() + CHANGE_ACTIVE_MS;
+        self.order_queued_ms = now_ms();
+        let until = self.order_queued_ms + CHANGE_ACTIVE_MS;
         self.busy_until_ms.store(until, Ordering::Relaxed);
         let wake = Arc::clone(&self.wake);
         let sender = self.order_senders.entry(backend).or_insert_with(|| {
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -38,7 +38,7 @@
         let Some(group_leader) = &mut self.group_leader else {
             return;
         };
-        let orders = group_leader.advance(now);
+        let orders = group_leader.advance(now, self.exit_at_ms.is_none());
         let own_link = self.settings.common.link_address();
         let group = self.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default();
         // Agents that are sent a map, by whether they know the map in use.
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -145,6 +145,17 @@
         *self.switch.phase() != Phase::Idle
     }
 
+    /// Returns whether the group may be held until this leader sends more orders.
+    pub fn is_awaited(&self) -> bool {
+        match self.switch.phase() {
+            Phase::Idle => false,
+            Phase::Go { .. } | Phase::Release { .. } => {
+                self.states.iter().flatten().any(|observed| observed.state.held_step.is_some())
+            }
+            _ => true,
+        }
+    }
+
     /// Sets the map in use that this agent knows. Ranks that use its version need not report their
     /// experts.
     pub fn set_known_map(&mut self, map: VersionedMap) {
@@ -241,16 +252,20 @@
         due_backends.collect()
     }
 
-    /// Advances the map change, or starts one; returns the orders to send.
-    pub fn advance(&mut self, now_ms: u64) -> Vec<(OrderTarget, Order)> {
+    /// Advances the map change, or starts one if `may_start`; returns the orders to send. Otherwise a
+    /// change that does not hold the group yet is abandoned.
+    pub fn advance(&mut self, now_ms: u64, may_start: bool) -> Vec<(OrderTarget, Order)> {
         self.update_map_in_use();
+        if !may_start {
+            self.switch.abandon_preparation(now_ms);
+        }
         let mut orders = self.switch.advance(now_ms, &self.states);
         if let Some(outcome) = self.switch.take_outcome() {
             log::info!(fence = self.fence(), outcome:% = outcome; "map change ended");
             metrics::counter!("currantlink_map_changes_total", "outcome" => outcome.to_string())
                 .increment(1);
         }
-        if self.switch.is_ready(now_ms, &self.states) {
+        if may_start && self.switch.is_ready(now_ms, &self.states) {
             self.start_change(now_ms);
             orders.extend(self.switch.advance(now_ms, &self.states));
         }
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -85,7 +85,7 @@
     /// Advances the leader and executes its orders; returns the version of a map to prepare.
     fn advance(&mut self) -> Option<u64> {
         let mut prepared = None;
-        for (target, Order { action, .. }) in self.leader.advance(self.now_ms) {
+        for (target, Order { action, .. }) in self.leader.advance(self.now_ms, true) {
             let is_target = |rank: &&mut RankState| match target {
                 OrderTarget::Agent { address: to, .. } => to == address(rank.rank),
                 OrderTarget::Backend(to) => to == address(100 + rank.rank),
