Keep idle caller connections for the idle time of the configuration

What callers saw: a gateway closed a connection that had been idle for header_timeout_ms, although callers reuse connections for up to four fifths of idle_timeout_ms; a request that crossed the close was reset. Cause: the HTTP server starts the limit for reading a header as soon as it waits for the next request. Evidence: idle_connections reused_after_idle failed 7 of 7 runs before and passed 4 of 4 after; slow_header passed before and after; gateway, gateway_state and reload_in_flight passed. Why this works: the gateway measures the header itself, from its first byte, and closes a connection whose header is late; it checks once a second, so that the limit may be exceeded by that. Idle connections now end by the idle limit only, so more of them stay open than before, also until a stop closes them.

--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio_util::io::InspectReader;
 
 use crate::request_handler::Gateway;
 use crate::response_body::ResponseBody;
@@ -27,7 +28,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Timeout for reading the header of a page request.
 const PAGE_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Interval between checks for idle connections.
+/// Interval between checks for idle connections and slow headers.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Accepts caller connections until the process exits.
@@ -66,10 +67,29 @@
     }
 }
 
-/// Number of active requests on a connection, and when the last one ended.
+/// Number of active requests on a connection, when the last one ended and when the header of the
+/// next one began.
 struct ConnectionActivity {
     active_requests: Cell<u32>,
     idle_since: Cell<Instant>,
+    header_since: Cell<Option<Instant>>,
+}
+
+impl ConnectionActivity {
+    fn record_received(&self, bytes: &[u8]) {
+        let is_header = !bytes.is_empty() && self.active_requests.get() == 0;
+        if is_header && self.header_since.get().is_none() {
+            self.header_since.set(Some(Instant::now()));
+        }
+    }
+
+    fn is_header_late(&self, limit: Duration) -> bool {
+        self.header_since.get().is_some_and(|since| since.elapsed() >= limit)
+    }
+
+    fn is_idle_for(&self, limit: Duration) -> bool {
+        self.active_requests.get() == 0 && self.idle_since.get().elapsed() >= limit
+    }
 }
 
 /// Counts a request as active until its response has been sent or dropped.
@@ -78,6 +98,7 @@
 impl ActiveRequest {
     fn begin(activity: &Rc<ConnectionActivity>) -> Self {
         activity.active_requests.set(activity.active_requests.get() + 1);
+        activity.header_since.set(None);
         Self(Rc::clone(activity))
     }
 }
@@ -92,11 +113,14 @@
 async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let limits = gateway.caller_limits();
     let idle_limit = Duration::from_millis(limits.idle_timeout_ms);
+    let header_limit = Duration::from_millis(limits.header_timeout_ms);
     let activity = Rc::new(ConnectionActivity {
         active_requests: Cell::new(0),
         idle_since: Cell::new(Instant::now()),
+        header_since: Cell::new(None),
     });
-    let service_activity = Rc::clone(&activity);
+    let (service_activity, received) = (Rc::clone(&activity), Rc::clone(&activity));
+    let stream = InspectReader::new(stream, move |bytes: &[u8]| received.record_received(bytes));
     let service = service_fn(move |request: Request<Incoming>| {
         let active = ActiveRequest::begin(&service_activity);
         let gateway = Rc::clone(&gateway);
@@ -105,13 +129,14 @@
             Ok::<_, Infallible>(response.map(|body| body.with_guard(active)))
         }
     });
+    // The server's own limit for reading a header would also close idle connections.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
+    let mut is_closing = false;
     loop {
         tokio::select! {
             done = &mut connection => {
@@ -120,24 +145,24 @@
                 }
                 return;
             }
-            changed = closing.changed() => {
+            changed = closing.changed(), if !is_closing => {
                 if changed.is_err() || *closing.borrow() {
                     connection.as_mut().graceful_shutdown();
-                    break;
+                    is_closing = true;
                 }
             }
             _ = idle_check.tick() => {
-                let is_idle = activity.active_requests.get() == 0;
-                if is_idle && activity.idle_since.get().elapsed() >= idle_limit {
+                if activity.is_header_late(header_limit) {
+                    log::debug!("header of a request not received in time");
+                    return;
+                }
+                if !is_closing && activity.is_idle_for(idle_limit) {
                     connection.as_mut().graceful_shutdown();
-                    break;
+                    is_closing = true;
                 }
             }
         }
     }
-    if let Err(error) = connection.await {
-        log::debug!(error:% = error; "caller connection failed");
-    }
 }
 
 /// Serves the pages that `page` returns by path, and status 404 for other paths, until the process
