Test a stop right after a change of the settings file

The test fails on current code, because a gateway computes its exit at SIGTERM from the settings that it read last, up to two seconds before: if the file has a shorter grace period meanwhile, it takes requests that the platform's SIGKILL cuts off.

--- /dev/null
+++ b/daemon/tests/settings_at_stop.rs
@@ -0,0 +1,28 @@
+//! A gateway is stopped after its settings have changed.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use currantlink_standins::deployment::{IDEMPOTENT, Shape, get, wait_until};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// The file may change without a signal; the platform ends the process after the new grace period.
+#[tokio::test]
+async fn unsignalled_grace() {
+    let (deployment, _directory) = harness::start(Shape::default()).await;
+    let serves =
+        || async { deployment.send_request("GET", IDEMPOTENT, "first").await.code() == 200 };
+    wait_until(serves).await;
+    let process = &deployment.gateways[0].process;
+    let text = std::fs::read_to_string(&process.settings).unwrap();
+    let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+    settings["grace_s"] = 0.1.into();
+    std::fs::write(&process.settings, settings.to_string()).unwrap();
+    kill(Pid::from_raw(process.id().unwrap() as i32), Signal::SIGTERM).unwrap();
+    let readiness = deployment.gateways[0].readiness;
+    wait_until(|| async move { get(readiness, "/api/readiness").await != Some(200) }).await;
+    let reply = deployment.send_request("GET", IDEMPOTENT, "late").await;
+    assert_ne!(reply.code(), 200, "taken after the grace period in the settings file");
+}
