--- a/daemon/src/deployment_settings.rs
+++ b/daemon/src/deployment_settings.rs
@@ -12,6 +12,7 @@
 
 const MS_PER_S: f64 = 1_000.0;
 const BYTES_PER_MS_PER_MBPS: f64 = 125.0;
+const MAX_GRACE_S: f64 = 86_400.0;
 
 /// Validated settings that the gateway and agent roles share.
 #[derive(Clone, Debug)]
@@ -117,6 +118,9 @@
                 ));
             }
         }
+        if raw.grace_s > MAX_GRACE_S {
+            return Err(checker.error("grace_s", &raw.grace_s.to_string(), "at most 86400"));
+        }
         Ok(Self { raw, ip, store_address, metrics_address })
     }
 }
