Install the handlers of stop signals before a process listens

What callers saw: an entry or a side that got SIGTERM just after its start ended at once and cut off the requests that it had taken. Cause: the handlers were installed after the listeners had been opened and served. Why this works: a signal that comes before the process waits for it is kept by its handler, and nothing is accepted before the handler exists.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -32,6 +32,7 @@
 }
 
 async fn serve(settings: Entry, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
+    let mut signals = StopSignals::listen()?;
     stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let identity =
@@ -42,7 +43,6 @@
     let context = Arc::new(EntryContext::new(settings, control, metrics));
     let server = start_http(&context)?;
     log::info!(entry = context.settings.name(), address:% = server.local_addr(); "entry started");
-    let mut signals = StopSignals::listen()?;
     signals.next().await;
     log::info!("entry stopping");
     context.stop_accepting();
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -63,6 +63,7 @@
 
 async fn serve(settings: Side, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
     let incarnation: u64 = rand::random::<u64>().max(1);
+    let mut signals = StopSignals::listen()?;
     stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let listener = bind(settings.link_address).await?;
@@ -105,7 +106,6 @@
         "side started"
     );
     let accepting = tokio::spawn(accept_links(listener, Arc::clone(&shared)));
-    let mut signals = StopSignals::listen()?;
     signals.next().await;
     log::info!("side stopping");
     let grace = shared.settings.grace();
