Test streams whose backends are removed and stops at the start of a gateway

Both tests pass on current code: a stream ends whole although its backends have left the list and an eviction has run meanwhile, and a gateway has its handler of SIGTERM before it accepts connections. The removal of backends is tested by itself now; the test of a removed route keeps its other assertions.

--- a/daemon/tests/reload_in_flight.rs
+++ b/daemon/tests/reload_in_flight.rs
@@ -4,6 +4,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use currantlink_standins::deployment::{
     self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, STREAM, Shape, config, wait_until,
 };
@@ -14,6 +16,10 @@
 
 /// Events of a stream, which takes about 1.5 s.
 const EVENTS: u64 = 100;
+/// Events of a stream that outlasts an eviction, which takes about 2.5 s.
+const LONG_EVENTS: u64 = 160;
+/// Longer than the interval between evictions of removed backends.
+const EVICTION: Duration = Duration::from_millis(1_200);
 
 async fn start(shape: Shape) -> (Deployment, TempDir) {
     let (deployment, directory) = harness::start(shape).await;
@@ -35,10 +41,10 @@
     stream
 }
 
-async fn assert_whole(stream: JoinHandle<ClientResponse>) {
+async fn assert_whole(stream: JoinHandle<ClientResponse>, events: u64) {
     let reply = stream.await.unwrap();
     assert_eq!((reply.code(), reply.is_complete), (200, true), "{}", reply.text());
-    assert!(reply.text().contains(&format!("id: {EVENTS}\n")));
+    assert!(reply.text().contains(&format!("id: {events}\n")));
 }
 
 fn signal(deployment: &Deployment, signal: Signal) {
@@ -75,7 +81,7 @@
     let shorter = with_grace(&deployment, 0.5);
     reload(&deployment, "{", "settings rejected").await;
     reload(&deployment, &shorter, "settings reloaded").await;
-    assert_whole(stream).await;
+    assert_whole(stream, EVENTS).await;
 }
 
 #[tokio::test]
@@ -88,7 +94,7 @@
     reload(&deployment, "{", "settings rejected").await;
     reload(&deployment, &shorter, "settings reloaded").await;
     signal(&deployment, Signal::SIGTERM);
-    assert_whole(stream).await;
+    assert_whole(stream, EVENTS).await;
     assert!(deployment.gateways[0].process.wait().unwrap());
 }
 
@@ -110,9 +116,34 @@
     })
     .await;
     assert_eq!(deployment.send_request("POST", STREAM, "gone").await.code(), 404);
+    assert_whole(stream, EVENTS).await;
+}
+
+#[tokio::test]
+async fn backends_gone_under_stream() {
+    let (deployment, _directory) = start(Shape { events: LONG_EVENTS, ..model() }).await;
+    let stream = start_stream(&deployment).await;
     let topic = currantlink_platform::names::BACKENDS_TOPIC;
     for index in 0..deployment.model_backends.len() {
         deployment.records.put(topic, &format!("model-{index}"), b"");
     }
-    assert_whole(stream).await;
+    // The gateway's connections to removed backends are closed with the next eviction.
+    tokio::time::sleep(EVICTION).await;
+    assert_eq!(deployment.send_request("POST", STREAM, "gone").await.code(), 503);
+    assert!(!stream.is_finished());
+    assert_whole(stream, LONG_EVENTS).await;
+}
+
+#[tokio::test]
+async fn stopped_at_start() {
+    let (mut deployment, _directory) = harness::start(Shape::default()).await;
+    let gateway = &mut deployment.gateways[0];
+    gateway.process.kill();
+    gateway.process.start().unwrap();
+    while std::net::TcpStream::connect(gateway.callers).is_err() {
+        std::hint::spin_loop();
+    }
+    signal(&deployment, Signal::SIGTERM);
+    let process = &mut deployment.gateways[0].process;
+    assert!(process.wait().unwrap(), "the signal ends the process at once");
 }
