Test a ticket that is presented again at a stopping entry

ticket_at_stop fails on current code, because a stopping entry refuses a ticketed call as not run although the call may have run through an earlier request with the same ticket: a caller that lost the response would send the call again and it would run twice. body_at_stop used a ticketed call for its refusal as not run; it now uses a model request, for which that is right, with the same assertions on the status, the outcome and the runs.

--- a/daemon/tests/entry_stop.rs
+++ b/daemon/tests/entry_stop.rs
@@ -72,33 +72,54 @@
 
 /// Sends the head and a part of the body of a call, and returns the connection once the entry reads
 /// the body.
-async fn begin_call(system: &System, ticket: &str) -> TcpStream {
+async fn begin_call(system: &System, first: &str, rest: &str) -> TcpStream {
     let address = system.entry_urls[0].trim_start_matches("http://");
     let mut stream = TcpStream::connect(address).await.unwrap();
     let head = format!(
-        "POST {ticket} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\ncontent-length: 8\r\nexpect: 100-continue\r\n\r\n",
-        common::TOKEN
+        "POST /v1/models/llm/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\nexpect: 100-continue\r\n\r\n",
+        common::TOKEN,
+        first.len() + rest.len()
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     let mut interim = [0; CONTINUE.len()];
     stream.read_exact(&mut interim).await.unwrap();
     assert_eq!(interim, CONTINUE);
-    stream.write_all(b"half").await.unwrap();
+    stream.write_all(first.as_bytes()).await.unwrap();
     stream
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn body_at_stop() {
-    let system = System::start(Topology::default()).await;
-    let ticket = system.ticket(0).await;
-    let mut stream = begin_call(&system, &ticket).await;
+async fn stop_entry(system: &System) {
     system.entries[0].signal(Signal::SIGTERM);
     let log = system.dir.path().join("entry-0.log");
-    until("the entry stops", || std::fs::read_to_string(&log).unwrap().contains("entry stopping"))
-        .await;
-    stream.write_all(b"body").await.unwrap();
+    let is_stopping = || std::fs::read_to_string(&log).unwrap().contains("entry stopping");
+    until("the entry stops", is_stopping).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_at_stop() {
+    let system = engine().await;
+    let (first, rest) = (r#"{"prompt": "a", "#, r#""max_tokens": 1}"#);
+    let mut stream = begin_call(&system, first, rest).await;
+    stop_entry(&system).await;
+    stream.write_all(rest.as_bytes()).await.unwrap();
     let mut reply = String::new();
     stream.read_to_string(&mut reply).await.unwrap();
     assert!(reply.starts_with("HTTP/1.1 503") && reply.contains("not-run"), "{reply:?}");
-    assert_eq!(system.runs_of("halfbody"), 0);
+    assert_eq!(system.group.as_ref().unwrap().record().begun, 0);
+}
+
+/// A caller that lost the response presents its ticket again, at an entry that is stopping.
+#[tokio::test(flavor = "multi_thread")]
+async fn ticket_at_stop() {
+    let system = Arc::new(System::start(Topology { call_ms: 1_000, ..Topology::default() }).await);
+    let (ticket, other) = (system.ticket(0).await, system.ticket(0).await);
+    assert_eq!(system.present(0, &ticket, "once").await.unwrap().outcome(), "answered");
+    let background = Arc::clone(&system);
+    let call = tokio::spawn(async move { background.present(0, &other, "other").await });
+    until("another call keeps the entry running", || system.runs_of("other") == 1).await;
+    stop_entry(&system).await;
+    let reply = system.present(0, &ticket, "once").await.unwrap();
+    assert_ne!(reply.outcome(), "not-run", "the call has run: {reply:?}");
+    assert_eq!(call.await.unwrap().unwrap().outcome(), "answered");
 }
