Report a ticketed call that an entry refuses as unknown, not as not run

What callers saw: a caller that presented its ticket again, after a lost response, at a stopping entry or at one without a link got 503 with outcome not-run, although the call had run; sent anew, it would run twice. Cause: entries refuse such requests before routing, where every refusal was reported as not run. Why this works: only the side of a ticket knows whether its call has run. Refusals of calls without a ticket are unchanged.

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -37,26 +37,38 @@
 /// Prompt tokens that count as much work as one generated token.
 const PROMPT_TOKENS_PER_WORK_TOKEN: u32 = 8;
 
-/// Error response to a request that is refused before routing. The request has not run.
+/// Error response to a request that is refused before routing. This request has not run.
 #[derive(Debug)]
 struct Rejection {
     status: StatusCode,
     code: ErrorCode,
     message: String,
+    outcome: Outcome,
 }
 
 impl Rejection {
     fn new(status: StatusCode, code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { status, code, message: message.into() }
+        Self { status, code, message: message.into(), outcome: Outcome::NotRun }
     }
 
     fn malformed(message: impl Into<String>) -> Self {
         Self::new(StatusCode::BAD_REQUEST, ErrorCode::Malformed, message)
     }
 
+    /// Changes a refusal that invites another request with the same ticket: an earlier request may have
+    /// run the call, and only its side can tell.
+    fn with_ticket(self, has_ticket: bool) -> Self {
+        match self.status {
+            StatusCode::SERVICE_UNAVAILABLE if has_ticket => {
+                Self { status: StatusCode::GATEWAY_TIMEOUT, outcome: Outcome::Unknown, ..self }
+            }
+            _ => self,
+        }
+    }
+
     fn respond(self, request_id: &str) -> HttpResult {
         metrics::counter!("currantlink_rejected_total").increment(1);
-        let body = ErrorBody::new(self.code, self.message).outcome(Outcome::NotRun);
+        let body = ErrorBody::new(self.code, self.message).outcome(self.outcome);
         body.request(request_id).respond(self.status)
     }
 }
@@ -185,7 +197,7 @@
         prepare(&entry, &view, &context, service, ticket.as_deref(), generated_id, build_call);
     let (call, needs_ticket) = match prepared {
         Ok(prepared) => prepared,
-        Err(rejection) => return rejection.respond(&id),
+        Err(rejection) => return rejection.with_ticket(ticket.is_some()).respond(&id),
     };
     let service_view = match linked_service(&entry, &view, &call).await {
         Some(service_view) => service_view,
@@ -195,7 +207,7 @@
                 ErrorCode::NoBackend,
                 "no backend is linked yet",
             );
-            return rejection.respond(&id);
+            return rejection.with_ticket(ticket.is_some()).respond(&id);
         }
     };
     if needs_ticket {
