--- a/core/src/gate.rs
+++ b/core/src/gate.rs
@@ -17,6 +17,10 @@
 /// Time after the start of draining during which calls with a ticket are still admitted.
 pub const TICKET_DRAIN_MS: u64 = 2_000;
 
+/// Time after the end of a call during which a stopping side keeps its response, unless the entry
+/// cancels the call. An entry takes a second to notice that its link is dead and to ask again.
+pub const RESUME_DRAIN_MS: u64 = 2_000;
+
 const US_PER_MS: u64 = 1_000;
 /// Inverse weight of a new sample in the moving average of the time per token.
 const WORK_RATE_SMOOTHING: u64 = 8;
@@ -36,6 +40,7 @@
     retain_until_ms: u64,
     has_ticket: bool,
     orphaned_at_ms: Option<u64>,
+    ended_at_ms: Option<u64>,
     link: LinkId,
     work_tokens: u32,
 }
@@ -54,6 +59,8 @@
     tombstones: usize,
     us_per_token: u64,
     draining_since_ms: Option<u64>,
+    exit_at_ms: Option<u64>,
+    is_closed: bool,
     last_mint_ms: Option<u64>,
 }
 
@@ -73,6 +80,8 @@
             tombstones: 0,
             us_per_token: limits.us_per_token.max(1),
             draining_since_ms: None,
+            exit_at_ms: None,
+            is_closed: false,
             last_mint_ms: None,
         }
     }
@@ -129,6 +138,28 @@
         self.is_draining() && !has_outstanding_tickets && self.running == 0 && self.queue.is_empty()
     }
 
+    /// Sets the time at which the process exits in any case. Refuses queued calls whose deadline lies
+    /// after it, and from then on admits none: the exit might cut them off while they run.
+    pub fn set_exit(&mut self, now_ms: u64, exit_at_ms: u64) -> Vec<Command> {
+        self.exit_at_ms = Some(exit_at_ms);
+        let removed = self.queue.remove_due_after(exit_at_ms);
+        self.refuse_removed(now_ms, removed, Refusal::Draining)
+    }
+
+    /// Closes the gate for good if the side can stop and no response has to be kept for an entry that
+    /// lost its link. Returns whether it is closed: no call is admitted any more, so that the process
+    /// can exit.
+    pub fn close_if_idle(&mut self, now_ms: u64) -> bool {
+        self.is_closed |= self.can_stop(now_ms) && !self.has_recent_responses(now_ms);
+        self.is_closed
+    }
+
+    fn has_recent_responses(&self, now_ms: u64) -> bool {
+        let is_recent =
+            |call: &Call| call.ended_at_ms.is_some_and(|at| now_ms < at + RESUME_DRAIN_MS);
+        self.calls.values().any(is_recent)
+    }
+
     /// Mints a ticket for a non-idempotent call.
     ///
     /// # Errors
@@ -248,6 +279,7 @@
             return Vec::new();
         };
         call.state = State::Done;
+        call.ended_at_ms = Some(now_ms);
         call.retain_until_ms = call.retain_until_ms.max(now_ms + self.limits.retention_ms);
         let work_tokens = u64::from(call.work_tokens);
         self.running -= 1;
@@ -306,8 +338,9 @@
         let workspace = &submission.key.workspace;
         let in_flight = self.in_flight.get(workspace).copied().unwrap_or(0);
         match self.draining_since_ms {
-            Some(_) if !has_ticket => return Err(Refusal::Draining),
+            Some(_) if !has_ticket || self.is_closed => return Err(Refusal::Draining),
             Some(since) if now_ms >= since + TICKET_DRAIN_MS => return Err(Refusal::Draining),
+            Some(_) if self.is_due_after_exit(now_ms, submission) => return Err(Refusal::Draining),
             _ => {}
         }
         if in_flight >= submission.workspace_limit {
@@ -324,6 +357,11 @@
         if has_capacity { Ok(None) } else { self.find_displaceable(submission).map(Some) }
     }
 
+    fn is_due_after_exit(&self, now_ms: u64, submission: &Submission) -> bool {
+        let deadline_ms = now_ms.saturating_add(submission.remaining_ms);
+        self.exit_at_ms.is_some_and(|exit_at_ms| deadline_ms > exit_at_ms)
+    }
+
     /// Returns the newest queued call of the workspace with the most load, to be displaced by a
     /// call of a workspace with less load.
     fn find_displaceable(&self, submission: &Submission) -> Result<CallKey, Refusal> {
@@ -418,13 +456,20 @@
 
     fn expire_queued(&mut self, now_ms: u64) -> Vec<Command> {
         let expired = self.queue.expire(now_ms);
-        expired
-            .into_iter()
-            .map(|queued| {
-                self.mark_not_run(now_ms, &queued.key);
-                Command::Refuse(queued.key, self.refused(Refusal::Deadline))
-            })
-            .collect()
+        self.refuse_removed(now_ms, expired, Refusal::Deadline)
+    }
+
+    fn refuse_removed(
+        &mut self,
+        now_ms: u64,
+        removed: Vec<QueuedCall>,
+        reason: Refusal,
+    ) -> Vec<Command> {
+        let refuse = |queued: QueuedCall| {
+            self.mark_not_run(now_ms, &queued.key);
+            Command::Refuse(queued.key, self.refused(reason))
+        };
+        removed.into_iter().map(refuse).collect()
     }
 
     fn cancel_orphans(&mut self, now_ms: u64) -> Vec<Command> {
@@ -509,8 +554,15 @@
         link: LinkId,
         work_tokens: u32,
     ) {
-        let call =
-            Call { state, retain_until_ms, has_ticket, orphaned_at_ms: None, link, work_tokens };
+        let call = Call {
+            state,
+            retain_until_ms,
+            has_ticket,
+            orphaned_at_ms: None,
+            ended_at_ms: None,
+            link,
+            work_tokens,
+        };
         self.calls.insert(key, call);
     }
 
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -12,7 +12,7 @@
 use crate::error::DaemonError;
 use crate::link::Identity;
 use crate::settings::Entry;
-use crate::stop::StopSignals;
+use crate::stop::{self, StopSignals};
 use crate::threads::traffic_runtime;
 use crate::uplink::LinkSetup;
 use crate::{callers, operators, telemetry};
@@ -32,6 +32,8 @@
 }
 
 async fn serve(settings: Entry, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
+    let mut signals = StopSignals::listen()?;
+    stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let identity =
         Identity { name: settings.name().to_owned(), process_id: rand::random(), generation: 0 };
@@ -41,7 +43,6 @@
     let context = Arc::new(EntryContext::new(settings, control, metrics));
     let server = start_http(&context)?;
     log::info!(entry = context.settings.name(), address:% = server.local_addr(); "entry started");
-    let mut signals = StopSignals::listen()?;
     signals.next().await;
     log::info!("entry stopping");
     context.stop_accepting();
--- a/daemon/src/side.rs
+++ b/daemon/src/side.rs
@@ -23,10 +23,10 @@
 use crate::platform::PlatformClient;
 use crate::settings::{LinkTiming, Side};
 use crate::side_control::{ControlSetup, DrainReason, Event, Outbox, SideControl, SideView};
-use crate::stop::StopSignals;
+use crate::stop::{self, StopSignals};
 use crate::threads::{control_thread, traffic_runtime};
 use crate::uplink::LinkSetup;
-use crate::{conversions, engine, monitor, telemetry};
+use crate::{clock, conversions, engine, monitor, telemetry};
 
 /// Capacity of the control thread's queue, in events.
 const EVENT_QUEUE_CAPACITY: usize = 4_096;
@@ -63,10 +63,12 @@
 
 async fn serve(settings: Side, traffic: tokio::runtime::Handle) -> Result<(), DaemonError> {
     let incarnation: u64 = rand::random::<u64>().max(1);
+    let mut signals = StopSignals::listen()?;
+    stop::ignore_hangups()?;
     let metrics = telemetry::install_metrics()?;
     let listener = bind(settings.link_address).await?;
     let view: Arc<ArcSwap<SideView>> = Arc::default();
-    let (idle, mut idle_changes) = watch::channel(false);
+    let (closed, mut closing) = watch::channel(false);
     let (events, queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let client = BackendClient::new(&settings.backend_url);
     let setup = ControlSetup {
@@ -77,7 +79,7 @@
         client: client.clone(),
         traffic,
         view: Arc::clone(&view),
-        idle,
+        closed,
     };
     let own_events = events.clone();
     control_thread(move || SideControl::new(setup, own_events).run(queue))?;
@@ -104,14 +106,15 @@
         "side started"
     );
     let accepting = tokio::spawn(accept_links(listener, Arc::clone(&shared)));
-    let mut signals = StopSignals::listen()?;
     signals.next().await;
     log::info!("side stopping");
-    send_event(&shared.events, Event::Drain(DrainReason::Stop, true)).await;
+    let grace = shared.settings.grace();
+    let exit_at_ms = clock::now_ms().saturating_add(grace.as_millis() as u64);
+    send_event(&shared.events, Event::Stop(exit_at_ms)).await;
     tokio::select! {
-        _ = idle_changes.wait_for(|idle| *idle) => {}
+        _ = closing.wait_for(|closed| *closed) => {}
         () = signals.next() => log::warn!("second stop signal received; stopping immediately"),
-        () = tokio::time::sleep(shared.settings.grace()) => {
+        () = tokio::time::sleep(grace) => {
             log::warn!("grace period expired; stopping immediately");
         }
     }
--- a/daemon/src/side_control.rs
+++ b/daemon/src/side_control.rs
@@ -64,6 +64,8 @@
     Mint(Outbox, Mint),
     /// A running call has ended after the given time.
     Finished(CallKey, Duration),
+    /// The process received a stop signal and exits at the given time in any case.
+    Stop(u64),
     /// A reason for draining now holds (`true`) or no longer holds (`false`).
     Drain(DrainReason, bool),
     /// Configuration records in log order, each with its offset.
@@ -103,8 +105,8 @@
     pub traffic: Handle,
     /// Receives the published state.
     pub view: Arc<ArcSwap<SideView>>,
-    /// Signals whether the side is draining and has no work left.
-    pub idle: watch::Sender<bool>,
+    /// Signals that the process is stopping and its gate is closed.
+    pub closed: watch::Sender<bool>,
 }
 
 struct Job {
@@ -163,10 +165,12 @@
         let commands = self.setup.gate.tick(now_ms);
         self.execute(commands);
         self.publish();
-        self.setup.idle.send_if_modified(|idle| {
-            let stoppable = self.setup.gate.can_stop(now_ms);
-            std::mem::replace(idle, stoppable) != stoppable
-        });
+        if self.drain_reasons.contains(&DrainReason::Stop) {
+            let is_closed = self.setup.gate.close_if_idle(now_ms);
+            self.setup
+                .closed
+                .send_if_modified(|closed| std::mem::replace(closed, is_closed) != is_closed);
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -187,6 +191,11 @@
                 let commands = self.setup.gate.finished(now_ms, &key, time.as_micros() as u64);
                 self.execute(commands);
             }
+            Event::Stop(exit_at_ms) => {
+                let commands = self.setup.gate.set_exit(now_ms, exit_at_ms);
+                self.execute(commands);
+                self.drain(now_ms, DrainReason::Stop, true);
+            }
             Event::Drain(reason, drained) => self.drain(now_ms, reason, drained),
             Event::ConfigRecords(records) => self.apply_records(records),
             Event::ConfigState(state) => self.restore_config(&state),
