Read the settings file when a gateway is asked to stop

What callers saw: the platform may shorten the grace period in the file without a signal; a gateway that is then stopped goes by the period that it read up to 2 s earlier, and is killed with requests in flight.

Cause: the file is polled. Change: it is read at SIGTERM; an invalid file changes nothing.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,7 +70,7 @@
     path: PathBuf,
 ) -> Result<(), DaemonError> {
     let mut signals = StopSignals::listen()?;
-    tokio::task::spawn_local(reload(Rc::clone(&gateway), Reload::watch(path)?));
+    tokio::task::spawn_local(reload(Rc::clone(&gateway), Reload::watch(path.clone())?));
     let settings = gateway.settings();
     log::info!(name = settings.common.name(), callers:% = settings.callers_address;
         "gateway started");
@@ -89,6 +89,8 @@
     tokio::task::spawn_local(evict_stale(Rc::clone(&gateway)));
     signals.next().await;
     let stopped_at = Instant::now();
+    // The grace period may have changed since the file was last read.
+    apply_settings(&gateway, &path);
     let stop = Stop::begin(gateway.settings().common.grace());
     let callers = CallerConnections { open, phase };
     let stop = drain(&gateway, stop, &callers, stopped_at).await;
@@ -158,15 +160,20 @@
 async fn reload(gateway: Rc<Gateway>, mut reload: Reload) {
     loop {
         let path = reload.changed().await;
-        match deployment_settings::load_gateway(&path) {
-            Ok(settings) => {
-                log::info!("settings reloaded");
-                gateway.set_settings(settings);
-            }
-            Err(error) => {
-                log::error!(error:% = error;
-                    "settings rejected; previous settings stay in force")
-            }
+        apply_settings(&gateway, &path);
+    }
+}
+
+/// Reads the settings file and applies it if it is valid.
+fn apply_settings(gateway: &Gateway, path: &Path) {
+    match deployment_settings::load_gateway(path) {
+        Ok(settings) => {
+            log::info!("settings reloaded");
+            gateway.set_settings(settings);
+        }
+        Err(error) => {
+            log::error!(error:% = error;
+                "settings rejected; previous settings stay in force")
         }
     }
 }
