--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
 
-use crate::args::Stops;
+use crate::args::Soak;
 use crate::error::BenchError;
 use crate::platform::count_runs;
 use crate::soak;
@@ -61,7 +61,7 @@
 /// # Errors
 ///
 /// Fails with the number of seeds that violated a guarantee, or if a deployment cannot be started.
-pub fn run(options: &Stops) -> Result<(), BenchError> {
+pub fn run(options: &Soak) -> Result<(), BenchError> {
     let runtime = tokio::runtime::Runtime::new()?;
     soak::run_seeds(options.seed..options.seed + options.seeds, |directory, seed| {
         runtime.block_on(stop_in_turn(options, directory, seed))
@@ -69,7 +69,7 @@
 }
 
 async fn stop_in_turn(
-    options: &Stops,
+    options: &Soak,
     directory: &Path,
     seed: u64,
 ) -> Result<Vec<String>, BenchError> {
