Take an agent's exit time and a test's request from where they exist already

An agent repeated the margin before the end of the grace period that core/stop has; it takes its exit time from there now, the same for a grace period of 3 s or more, for shorter ones a tenth of the period before its end instead of 0.3 s. idle_connections wrote its request by hand beside encode_request; the request is the same but for the deadline header, and its assertions are unchanged. A request that ends is removed from those in flight in constant time, as their order has no reader.

--- a/core/src/stop.rs
+++ b/core/src/stop.rs
@@ -15,7 +15,6 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Maximum share of the grace period that the margin takes.
 const MAX_MARGIN_SHARE: f64 = 0.1;
-
 /// Time that a short response takes to reach the caller.
 const RESPONSE_TIME: Duration = Duration::from_millis(200);
 
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -5,11 +5,11 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use bytes::Bytes;
 use currantlink_core::demand::CollectedChoices;
 use currantlink_core::routes::RouteTable;
+use currantlink_core::stop::Stop;
 use currantlink_core::switch::{Action, Order, RankState};
 use currantlink_platform::config;
 use currantlink_platform::engine::{EngineState, RankExperts};
@@ -42,9 +42,6 @@
 /// pass takes some tens of milliseconds.
 const STALL_TIMEOUT_MS: u64 = 400;
 
-/// Margin before the end of the grace period at which a stopping agent exits in any case.
-const FORCED_EXIT_MARGIN: Duration = Duration::from_millis(300);
-
 mod leadership;
 
 enum Event {
@@ -191,8 +188,8 @@
     }
 
     fn begin_stop(&mut self) {
-        let grace = self.settings.common.grace().saturating_sub(FORCED_EXIT_MARGIN);
-        self.exit_at_ms = Some(now_ms().saturating_add(grace.as_millis() as u64));
+        let exits_after = Stop::begin(self.settings.common.grace()).exits_after();
+        self.exit_at_ms = Some(now_ms().saturating_add(exits_after.as_millis() as u64));
         log::info!("agent stopping");
     }
 
--- a/daemon/src/in_flight.rs
+++ b/daemon/src/in_flight.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
-/// The requests in flight, in order of arrival. Clones share their state.
+/// The requests in flight, in no order. Clones share their state.
 #[derive(Clone, Default)]
 pub struct InFlightRequests(Rc<RefCell<Requests>>);
 
@@ -54,6 +54,6 @@
 
 impl Drop for InFlightEntry {
     fn drop(&mut self) {
-        self.requests.0.borrow_mut().by_key.shift_remove(&self.key);
+        self.requests.0.borrow_mut().by_key.swap_remove(&self.key);
     }
 }
--- a/daemon/tests/idle_connections.rs
+++ b/daemon/tests/idle_connections.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use currantlink_standins::deployment::{Deployment, HOST, KEY, ONCE, Shape};
+use currantlink_standins::deployment::{ClientRequest, Deployment, ONCE, Shape, encode_request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -21,16 +21,14 @@
 
 /// Sends a request on an open connection, with a pause in its header, and reads its response.
 async fn exchange(stream: &mut TcpStream, id: &str, pause: Duration) -> String {
-    let head = format!(
-        "POST {ONCE} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nauthorization: Bearer {KEY}\r\n\
-         content-length: 0\r\n\r\n"
-    );
+    let body = bytes::Bytes::new();
+    let head = encode_request(&ClientRequest { body, ..ClientRequest::new("POST", ONCE, id) });
     let (first, rest) = head.split_at(head.len() / 2);
-    stream.write_all(first.as_bytes()).await.unwrap();
+    stream.write_all(first).await.unwrap();
     tokio::time::sleep(pause).await;
     let mut reply = Vec::new();
     // Writing and reading fail if the gateway has closed the connection.
-    let mut is_open = stream.write_all(rest.as_bytes()).await.is_ok();
+    let mut is_open = stream.write_all(rest).await.is_ok();
     while is_open && !String::from_utf8_lossy(&reply).contains(&format!("{id} by")) {
         is_open = stream.read_buf(&mut reply).await.is_ok_and(|len| len > 0);
     }
