Log callers that leave and backends that fall silent

A response body logs a caller that leaves before its end; core/silence tells from the reports of the agents and the bytes of responses which backends have stopped or cannot be reached, compared with the others of the service, so that a suspended gateway suspects none. Nothing decides by it yet.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -51,6 +51,8 @@
     pub announcement: Announcement,
     /// Whether the backend accepts no new requests; once set, stays set.
     pub leaving: bool,
+    /// Time since which the backend is known.
+    pub known_since_ms: u64,
     dropped_at_ms: Option<u64>,
 }
 
@@ -108,6 +110,7 @@
                     id: id.to_owned(),
                     announcement,
                     leaving,
+                    known_since_ms: now_ms,
                     dropped_at_ms: None,
                 });
                 self.by_id.insert(id.to_owned(), key);
@@ -189,7 +192,9 @@
         let member = &mut self.members[key.0 as usize];
         let leaving = member.leaving || announcement.draining;
         let changed = leaving != member.leaving || member.announcement.slots != announcement.slots;
-        *member = Member { id: member.id.clone(), announcement, leaving, dropped_at_ms: None };
+        member.announcement = announcement;
+        member.leaving = leaving;
+        member.dropped_at_ms = None;
         changed
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod router;
 pub mod routes;
 pub mod share;
+pub mod silence;
 pub mod stop;
 pub mod submission;
 pub mod subset;
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -199,6 +199,7 @@
                 return AttemptEnd::NoResponse(Outcome::Unknown);
             }
         };
+        self.pool.record_heard(key, now_ms());
         let status = metadata.status;
         let response = Box::new(BackendResponse {
             head,
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -87,6 +87,7 @@
     let accepting = ingress::accept_callers(Rc::clone(&gateway), callers, phases, Rc::clone(&open));
     tokio::task::spawn_local(accepting);
     tokio::task::spawn_local(evict_stale(Rc::clone(&gateway)));
+    tokio::task::spawn_local(watch_backends(Rc::clone(&gateway)));
     signals.next().await;
     let stopped_at = Instant::now();
     // The grace period may have changed since the file was last read.
@@ -185,6 +186,13 @@
     }
 }
 
+async fn watch_backends(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(TICK_INTERVAL).await;
+        gateway.update_silent();
+    }
+}
+
 async fn control(
     settings: GatewaySettings,
     snapshot: SharedSnapshot,
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -26,6 +26,7 @@
     idle: Vec<(Upstream, Instant)>,
     in_flight: u32,
     sent_at_ms: Vec<u64>,
+    heard_at_ms: u64,
 }
 
 /// Counts a request as in flight at a backend until dropped.
@@ -92,6 +93,18 @@
         (backend.in_flight, backend.sent_at_ms.len() as u32)
     }
 
+    /// Records that bytes of a response have arrived from a backend.
+    pub fn record_heard(&self, key: FleetKey, now_ms: u64) {
+        if let Some(backend) = self.0.borrow_mut().get_mut(&key) {
+            backend.heard_at_ms = now_ms;
+        }
+    }
+
+    /// Returns when bytes of a response last arrived from a backend, or 0 if none have.
+    pub fn heard_at_ms(&self, key: FleetKey) -> u64 {
+        self.0.borrow().get(&key).map_or(0, |backend| backend.heard_at_ms)
+    }
+
     /// Returns the number of this process's requests in flight at a backend. Each uses a separate
     /// connection.
     pub fn in_flight(&self, key: FleetKey) -> u32 {
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -14,6 +14,7 @@
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
+use currantlink_core::silence;
 use currantlink_core::stop::Acceptance;
 use currantlink_platform::request::{self, RequestMetadata};
 use http::{HeaderMap, Method, Request, Response, header};
@@ -25,12 +26,14 @@
 
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
+use crate::departure::Departure;
 use crate::deployment_settings::GatewaySettings;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
 use crate::pool::ConnectionPool;
 use crate::rejection::{CONFIGURATION_RETRY_AFTER, NotRunReason, Rejection};
 use crate::response_body::ResponseBody;
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
+use crate::silent::SilentBackends;
 use crate::stream_relay::{self, RelayedStream};
 use crate::upstream::UpstreamError;
 
@@ -49,6 +52,7 @@
     pub(crate) load_reports: Arc<LoadReports>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
+    pub(crate) silent: SilentBackends,
     in_flight: InFlightRequests,
     /// Time of the stop signal and what is accepted since.
     stopping: Cell<Option<(Instant, Acceptance)>>,
@@ -125,6 +129,7 @@
             load_reports,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
+            silent: SilentBackends::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
             answer_by: watch::Sender::default(),
@@ -213,6 +218,22 @@
         observations.misdirected.retain(|&key| known(key));
     }
 
+    /// Determines which of the backends with an agent are silent.
+    pub fn update_silent(&self) {
+        let (now, snapshot) = (now_ms(), self.snapshot.load());
+        let mut heard = IndexMap::<&str, Vec<(FleetKey, u64)>>::new();
+        for (key, member) in snapshot.fleet.listed() {
+            let report = self.load_reports.get(member.announcement.address);
+            // An older report is about an earlier backend with the same address.
+            if let Some(report) = report.filter(|r| r.received_at_ms >= member.known_since_ms) {
+                let heard_at_ms = report.received_at_ms.max(self.pool.heard_at_ms(key));
+                heard.entry(&member.announcement.service).or_default().push((key, heard_at_ms));
+            }
+        }
+        let silent = heard.values().flat_map(|heard| silence::silent_backends(heard, now));
+        self.silent.replace(silent.collect(), &snapshot.fleet);
+    }
+
     /// Serves one request and returns the response for the caller.
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let arrived_at = Instant::now();
@@ -220,6 +241,7 @@
         let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
         let in_flight =
             self.in_flight.begin(InFlightRequest { attempt_id: attempt_id.clone(), arrived_at });
+        let departure = Departure::watch(attempt_id.clone(), arrived_at);
         let mut response = match Rc::clone(&self).handle(request, metadata, arrived_at).await {
             Ok(response) => response,
             Err(rejection) => {
@@ -236,7 +258,7 @@
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        response.map(|body| body.with_guard(in_flight))
+        response.map(|body| body.with_departure(departure).with_guard(in_flight))
     }
 
     async fn handle(
--- a/daemon/src/response_body.rs
+++ b/daemon/src/response_body.rs
@@ -8,6 +8,8 @@
 use futures::Stream;
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::departure::Departure;
+
 /// Error that aborts a response body before its end.
 ///
 /// The HTTP server then closes the connection, so that the body does not look complete to the
@@ -21,6 +23,7 @@
 /// Response body with an optional guard that is dropped together with the body.
 pub struct ResponseBody {
     content: Content,
+    departure: Option<Box<Departure>>,
     _guard: Option<Box<dyn std::any::Any>>,
 }
 
@@ -30,9 +33,13 @@
 }
 
 impl ResponseBody {
+    fn new(content: Content) -> Self {
+        Self { content, departure: None, _guard: None }
+    }
+
     /// Creates a body from complete content.
     pub fn from_bytes(bytes: Bytes) -> Self {
-        Self { content: Content::Full(Some(bytes)), _guard: None }
+        Self::new(Content::Full(Some(bytes)))
     }
 
     /// Creates a body from text.
@@ -42,12 +49,21 @@
 
     /// Creates a body that is streamed in chunks.
     pub fn from_stream(chunks: impl Stream<Item = Result<Bytes, TruncatedBody>> + 'static) -> Self {
-        Self { content: Content::Chunks(Box::pin(chunks)), _guard: None }
+        Self::new(Content::Chunks(Box::pin(chunks)))
+    }
+
+    /// Watches whether the caller leaves before the end of the body. A complete body counts as sent.
+    pub fn with_departure(mut self, mut departure: Departure) -> Self {
+        if matches!(self.content, Content::Full(_)) {
+            departure.record_answered();
+        }
+        self.departure = Some(Box::new(departure));
+        self
     }
 
     /// Attaches a guard that is dropped once the body is sent or dropped, with those attached before.
     pub fn with_guard(self, guard: impl std::any::Any) -> Self {
-        Self { content: self.content, _guard: Some(Box::new((guard, self._guard))) }
+        Self { _guard: Some(Box::new((guard, self._guard))), ..self }
     }
 }
 
@@ -59,12 +75,16 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match &mut self.content {
+        let next = match &mut self.content {
             Content::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Content::Chunks(chunks) => {
                 chunks.as_mut().poll_next(context).map(|next| next.map(|p| p.map(Frame::data)))
             }
+        };
+        if matches!(next, Poll::Ready(None | Some(Err(_)))) {
+            self.departure.iter_mut().for_each(|departure| departure.record_answered());
         }
+        next
     }
 
     fn is_end_stream(&self) -> bool {
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -15,6 +15,7 @@
 use futures::Stream;
 
 use crate::attempts::{BackendResponse, Dispatched};
+use crate::clock::now_ms;
 use crate::request_handler::{Call, Gateway};
 use crate::response_body::TruncatedBody;
 use crate::upstream::{Framing, UpstreamError};
@@ -75,6 +76,7 @@
             let backend_stream = self.backend_stream.as_mut()?;
             match backend_stream.read(&self.call, &mut self.splitter).await {
                 StreamRead::Events(events) => {
+                    self.gateway.pool.record_heard(backend_stream.response.key, now_ms());
                     self.pauses.iter_mut().for_each(|pauses| pauses.record_event(Instant::now()));
                     return Some(Ok(events));
                 }
