Choose no backend that has fallen silent

Cause: placement drops a report that is older than 1 s, and takes the requests that this gateway has in flight for the load of a backend without a report. A backend that has stopped reports nothing and so looks idle. Candidates no longer include the silent backends of core/silence.

Ruled out: no report at all as the reason to leave a backend out, since backends without an agent never have one and those that have just started have none yet.

--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -94,7 +94,10 @@
         let cap = (call.service().max_connections / snapshot.gateway_count.max(1) as u32).max(1);
         let mut set = CandidateSet { candidates: Vec::new(), is_capped: false };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
-            if tried.contains(&key) || observations.misdirected.contains(&key) {
+            if tried.contains(&key)
+                || observations.misdirected.contains(&key)
+                || self.silent.contains(key)
+            {
                 continue;
             }
             if self.pool.in_flight(key) >= cap {
--- a/daemon/src/silent.rs
+++ b/daemon/src/silent.rs
@@ -24,4 +24,9 @@
             self.0.send_replace(silent);
         }
     }
+
+    /// Returns whether a backend is silent.
+    pub fn contains(&self, key: FleetKey) -> bool {
+        self.0.borrow().contains(&key)
+    }
 }
--- a/daemon/tests/silent_backends.rs
+++ b/daemon/tests/silent_backends.rs
@@ -56,7 +56,7 @@
         })
     };
     let requests: Vec<_> = (0..REQUESTS).map(send).collect();
-    let is_stranded = |run: &currantlink_standins::backends::Run| run.attempt_id.starts_with("r-");
+    let is_stranded = |run: &Run| run.attempt_id.starts_with("r-");
     wait_until(|| async { deployment.model_backends[0].runs().iter().any(is_stranded) }).await;
     stop_agent(&deployment, 0);
     for request in requests {
