Take repeatable requests away from a backend that has fallen silent

Cause: nothing but the deadline, 8 s, ended the wait for a backend that had stopped, although other backends of its service would have served the caller. Class: the last state of a peer that is heard no more is taken for its present one.

Requests that may run again (idempotent ones and streams that can be resumed) end their attempt when core/silence finds their backend silent, 0.8 to 0.9 s after it was last heard, and go on elsewhere within attempts and retry budget; without either, the caller is answered at once. Requests that may run only once keep waiting. The failure is not counted against the backend's health, which would keep it ejected after its return.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -179,9 +179,11 @@
         let body = call.body.as_deref().unwrap_or_default();
         relay.record_dispatch();
         let reading = Self::read_own_response(call, &mut upstream, &head, body);
-        let read = match tokio::time::timeout_at(call.deadline, reading).await {
-            Ok(read) => read,
-            Err(_) => {
+        let reading = tokio::time::timeout_at(call.deadline, reading);
+        let read = match self.unless_silent(call, key, reading).await {
+            None => return AttemptEnd::NoResponse(Outcome::Unknown),
+            Some(Ok(read)) => read,
+            Some(Err(_)) => {
                 let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
                 self.record_failure(call, key, &error.into());
                 return AttemptEnd::NoResponse(Outcome::Unknown);
@@ -237,6 +239,27 @@
         }
     }
 
+    /// Waits for `reading`, or returns `None` if its backend falls silent and the request may run
+    /// again elsewhere.
+    pub(crate) async fn unless_silent<T>(
+        &self,
+        call: &Call,
+        key: FleetKey,
+        reading: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            read = reading => Some(read),
+            () = self.silent.until_silent(key), if call.route().repeat.may_run_again() => {
+                let after_ms = call.arrived_at.elapsed().as_millis() as u64;
+                log::info!(request = call.attempt_id.as_str(), after_ms;
+                    "attempt abandoned at a silent backend");
+                metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
+                None
+            }
+        }
+    }
+
     /// Sends the request and reads responses until one belongs to the request.
     ///
     /// A response belongs to the request if it carries the attempt id, or reports not-run without
--- a/daemon/src/silent.rs
+++ b/daemon/src/silent.rs
@@ -29,4 +29,10 @@
     pub fn contains(&self, key: FleetKey) -> bool {
         self.0.borrow().contains(&key)
     }
+
+    /// Waits until a backend is silent.
+    pub async fn until_silent(&self, key: FleetKey) {
+        // The sender is not dropped while it is borrowed, so the wait cannot fail.
+        let _ = self.0.subscribe().wait_for(|silent| silent.contains(&key)).await;
+    }
 }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -54,6 +54,8 @@
     End,
     Broken(UpstreamError),
     Timeout,
+    /// The backend has fallen silent.
+    Silent,
 }
 
 impl RelayedStream {
@@ -74,9 +76,12 @@
     async fn next(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
         loop {
             let backend_stream = self.backend_stream.as_mut()?;
-            match backend_stream.read(&self.call, &mut self.splitter).await {
+            let key = backend_stream.response.key;
+            let reading = backend_stream.read(&self.call, &mut self.splitter);
+            let read = self.gateway.unless_silent(&self.call, key, reading).await;
+            match read.unwrap_or(StreamRead::Silent) {
                 StreamRead::Events(events) => {
-                    self.gateway.pool.record_heard(backend_stream.response.key, now_ms());
+                    self.gateway.pool.record_heard(key, now_ms());
                     self.pauses.iter_mut().for_each(|pauses| pauses.record_event(Instant::now()));
                     return Some(Ok(events));
                 }
@@ -85,8 +90,12 @@
                     return None;
                 }
                 StreamRead::Timeout => return self.truncate("timeout"),
+                StreamRead::Silent => {
+                    if !self.resume().await {
+                        return self.truncate("silent");
+                    }
+                }
                 StreamRead::Broken(error) => {
-                    let key = backend_stream.response.key;
                     self.gateway.record_failure(&self.call, key, &error);
                     if !self.resume().await {
                         return self.truncate("broken");
