Establish silence after five missing reports instead of a fixed time

Callers whose streams wait leave after 2 s; the fixed 0.8 s, a tick later in practice, used up most of what is left for another backend. A busy agent reports every 80 ms, an idle one every 240 ms: the time is now five mean intervals of the agent's own recent reports, 0.4 to 0.8 s, so that loss or a slow machine lengthens it. A backend has to be silent at two checks, since the reports that arrived while this process was delayed are read between them.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -5,6 +5,10 @@
 /// Age at which a load report is discarded.
 pub const MAX_REPORT_AGE_MS: u64 = 1_000;
 
+/// Weight of the newest interval in the mean interval between reports.
+const INTERVAL_WEIGHT: f64 = 0.1;
+/// Longest interval that counts. A longer one is a pause of the agent.
+const MAX_INTERVAL_MS: f64 = 500.0;
 /// Part of the target latency reserved for prefill and the first step; the rest allows queueing.
 const PREFILL_RESERVE_MS: f64 = 120.0;
 /// Minimum queue at a backend, so that a free slot is refilled without a round trip.
@@ -54,9 +58,18 @@
     pub received_at_ms: u64,
     /// Whether the backend's group is formed and makes progress.
     pub is_serving: bool,
+    /// Mean interval between recent reports.
+    pub interval_ms: f64,
 }
 
 impl LoadReport {
+    /// Returns this report as the successor of `previous`, with the mean interval updated.
+    pub fn following(self, previous: &Self) -> Self {
+        let gap_ms = self.received_at_ms.saturating_sub(previous.received_at_ms) as f64;
+        let change_ms = INTERVAL_WEIGHT * (gap_ms.min(MAX_INTERVAL_MS) - previous.interval_ms);
+        Self { interval_ms: previous.interval_ms + change_ms, ..self }
+    }
+
     /// Returns the age of the report, or 0 if the report arrived after `now_ms` was read.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.received_at_ms)
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -27,7 +27,7 @@
 }
 
 fn reported(key: u32, active: u32, queued: u32, sent_since_report: u32) -> Candidate {
-    let report = Some(LoadReport { active, queued, received_at_ms: 0, is_serving: true });
+    let report = Some(LoadReport { active, queued, is_serving: true, ..LoadReport::default() });
     Candidate { report, sent_since_report, ..candidate(key, 0) }
 }
 
@@ -106,7 +106,13 @@
 fn future_report() {
     // Another thread can receive a report after the current time was read, so the report's time is
     // later than `now_ms`.
-    let report = LoadReport { active: 1, queued: 0, received_at_ms: 11, is_serving: true };
+    let report = LoadReport {
+        active: 1,
+        queued: 0,
+        received_at_ms: 11,
+        is_serving: true,
+        ..LoadReport::default()
+    };
     assert_eq!((report.age_ms(10), report.age_ms(15)), (0, 4));
 }
 
--- a/core/tests/silence.rs
+++ b/core/tests/silence.rs
@@ -1,38 +1,67 @@
 //! Detection of backends that have stopped or cannot be reached.
 
-use currantlink_core::silence::{SILENT_AFTER_MS, SILENT_UNTIL_MS, silent_backends};
+use currantlink_core::least_loaded::LoadReport;
+use currantlink_core::silence::{
+    LastHeard, SILENT_AFTER_RANGE_MS, SILENT_UNTIL_MS, silent_backends,
+};
 
 const NOW_MS: u64 = 100_000;
+const IDLE_INTERVAL_MS: f64 = 240.0;
+const BUSY_INTERVAL_MS: f64 = 80.0;
+const LEAST_MS: u64 = SILENT_AFTER_RANGE_MS.0 as u64;
+const MOST_MS: u64 = SILENT_AFTER_RANGE_MS.1 as u64;
 
-fn silent(ages_ms: &[u64]) -> Vec<usize> {
-    let heard: Vec<_> = ages_ms.iter().enumerate().map(|(key, age)| (key, NOW_MS - age)).collect();
+fn silent(interval_ms: f64, ages_ms: &[u64]) -> Vec<usize> {
+    let last_heard =
+        |(key, age): (usize, &u64)| LastHeard { key, heard_at_ms: NOW_MS - age, interval_ms };
+    let heard: Vec<_> = ages_ms.iter().enumerate().map(last_heard).collect();
     silent_backends(&heard, NOW_MS).into_iter().collect()
 }
 
+const NONE: [usize; 0] = [];
+
 #[test]
 fn one_silent() {
-    assert_eq!(silent(&[40, SILENT_AFTER_MS, 120]), [1]);
-    assert_eq!(silent(&[40, SILENT_AFTER_MS - 1, 120]), [] as [usize; 0]);
+    assert_eq!(silent(IDLE_INTERVAL_MS, &[40, MOST_MS, 120]), [1]);
+    assert_eq!(silent(IDLE_INTERVAL_MS, &[40, MOST_MS - 1, 120]), NONE);
+}
+
+#[test]
+fn busy_backends() {
+    assert_eq!(silent(BUSY_INTERVAL_MS, &[40, LEAST_MS, LEAST_MS - 1]), [1]);
 }
 
 #[test]
 fn most_silent() {
-    assert_eq!(silent(&[2_000, 100, 3_000, 2_500]), [0, 2, 3]);
+    assert_eq!(silent(IDLE_INTERVAL_MS, &[2_000, 100, 3_000, 2_500]), [0, 2, 3]);
 }
 
 #[test]
 fn nothing_received() {
-    assert_eq!(silent(&[1_000, 2_000, 4_000]), [] as [usize; 0], "the process was suspended");
-    assert_eq!(silent(&[1_000]), [] as [usize; 0], "one backend cannot be compared");
+    assert_eq!(silent(BUSY_INTERVAL_MS, &[1_000, 2_000, 4_000]), NONE, "the process was suspended");
+    assert_eq!(silent(BUSY_INTERVAL_MS, &[1_000]), NONE, "one backend cannot be compared");
 }
 
 #[test]
 fn agent_gone() {
-    assert_eq!(silent(&[40, SILENT_UNTIL_MS]), [] as [usize; 0], "the list governs by then");
+    assert_eq!(silent(BUSY_INTERVAL_MS, &[40, SILENT_UNTIL_MS]), NONE, "the list governs by then");
 }
 
 #[test]
 fn future_times() {
-    let heard = [(0, NOW_MS + 5), (1, NOW_MS - SILENT_AFTER_MS)];
-    assert_eq!(silent_backends(&heard, NOW_MS).into_iter().collect::<Vec<_>>(), [1]);
+    let heard = |key, heard_at_ms| LastHeard { key, heard_at_ms, interval_ms: BUSY_INTERVAL_MS };
+    let silent = silent_backends(&[heard(0, NOW_MS + 5), heard(1, NOW_MS - LEAST_MS)], NOW_MS);
+    assert_eq!(silent.into_iter().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn report_intervals() {
+    let report = |received_at_ms| LoadReport { received_at_ms, ..LoadReport::default() };
+    let mut last = report(0);
+    for at_ms in (1..=40).map(|index| index * 80) {
+        last = report(at_ms).following(&last);
+    }
+    assert!((last.interval_ms - BUSY_INTERVAL_MS).abs() < 5.0, "{}", last.interval_ms);
+    let after_pause = report(last.received_at_ms + 60_000).following(&last);
+    assert!(after_pause.interval_ms < IDLE_INTERVAL_MS, "one long pause is no interval");
 }
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -36,7 +36,7 @@
 /// backend's state showed an order in effect.
 const CHANGE_ACTIVE_MS: u64 = 300;
 /// Interval between load reports while the load is unchanged.
-const LOAD_INTERVAL_MS: u64 = 240;
+pub const LOAD_INTERVAL_MS: u64 = 240;
 
 /// Time without a new forward pass after which a backend with requests counts as stalled. A forward
 /// pass takes some tens of milliseconds.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -21,6 +21,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+use crate::agent;
 use crate::clock::now_ms;
 use crate::deployment_settings::{self, GatewaySettings};
 use crate::error::DaemonError;
@@ -329,8 +330,10 @@
         };
         let Load { active, queued, is_open, is_stalled, .. } = *load;
         let is_serving = is_open && !is_stalled;
-        self.load_reports
-            .record(address, LoadReport { active, queued, is_serving, received_at_ms: now_ms() });
+        let interval_ms = agent::LOAD_INTERVAL_MS as f64;
+        let received_at_ms = now_ms();
+        let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms };
+        self.load_reports.record(address, report);
     }
 
     async fn tick(&mut self) {
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -14,7 +14,7 @@
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
-use currantlink_core::silence;
+use currantlink_core::silence::{self, LastHeard};
 use currantlink_core::stop::Acceptance;
 use currantlink_platform::request::{self, RequestMetadata};
 use http::{HeaderMap, Method, Request, Response, header};
@@ -221,13 +221,18 @@
     /// Determines which of the backends with an agent are silent.
     pub fn update_silent(&self) {
         let (now, snapshot) = (now_ms(), self.snapshot.load());
-        let mut heard = IndexMap::<&str, Vec<(FleetKey, u64)>>::new();
+        let mut heard = IndexMap::<&str, Vec<LastHeard<FleetKey>>>::new();
         for (key, member) in snapshot.fleet.listed() {
             let report = self.load_reports.get(member.announcement.address);
             // An older report is about an earlier backend with the same address.
             if let Some(report) = report.filter(|r| r.received_at_ms >= member.known_since_ms) {
                 let heard_at_ms = report.received_at_ms.max(self.pool.heard_at_ms(key));
-                heard.entry(&member.announcement.service).or_default().push((key, heard_at_ms));
+                let interval_ms = report.interval_ms;
+                heard.entry(&member.announcement.service).or_default().push(LastHeard {
+                    key,
+                    heard_at_ms,
+                    interval_ms,
+                });
             }
         }
         let silent = heard.values().flat_map(|heard| silence::silent_backends(heard, now));
--- a/daemon/src/routing_snapshot.rs
+++ b/daemon/src/routing_snapshot.rs
@@ -32,7 +32,12 @@
 impl LoadReports {
     /// Stores a report, replacing the backend's previous one.
     pub fn record(&self, backend: SocketAddr, load: LoadReport) {
-        self.lock().insert(backend, load);
+        let mut reports = self.lock();
+        let load = match reports.get(&backend) {
+            Some(previous) => load.following(previous),
+            None => load,
+        };
+        reports.insert(backend, load);
     }
 
     /// Returns the newest report for a backend.
--- a/daemon/src/silent.rs
+++ b/daemon/src/silent.rs
@@ -1,18 +1,26 @@
 //! The set of silent backends, which requests in flight can wait on.
 
+use std::cell::RefCell;
+
 use currantlink_core::fleet::{Fleet, FleetKey};
 use indexmap::IndexSet;
 use tokio::sync::watch;
 
 /// Backends that have stopped or cannot be reached. See [`currantlink_core::silence`].
 #[derive(Default)]
-pub struct SilentBackends(watch::Sender<IndexSet<FleetKey>>);
+pub struct SilentBackends {
+    confirmed: watch::Sender<IndexSet<FleetKey>>,
+    seen: RefCell<IndexSet<FleetKey>>,
+}
 
 impl SilentBackends {
-    /// Replaces the set and logs the changes.
-    pub fn replace(&self, silent: IndexSet<FleetKey>, fleet: &Fleet) {
+    /// Replaces the set by the backends that were also silent at the last call, and logs the changes.
+    /// Reports that wait to be read, after a delay of this process, are read before the second call.
+    pub fn replace(&self, seen: IndexSet<FleetKey>, fleet: &Fleet) {
+        let before = self.seen.replace(seen.clone());
+        let silent = seen.intersection(&before).copied().collect::<IndexSet<_>>();
         let id = |key| fleet.get(key).map_or("", |member| member.id.as_str());
-        let before = self.0.borrow().clone();
+        let before = self.confirmed.borrow().clone();
         for &key in silent.difference(&before) {
             log::warn!(backend = id(key); "backend is silent");
         }
@@ -21,18 +29,18 @@
         }
         metrics::gauge!("currantlink_silent_backends").set(silent.len() as f64);
         if silent != before {
-            self.0.send_replace(silent);
+            self.confirmed.send_replace(silent);
         }
     }
 
     /// Returns whether a backend is silent.
     pub fn contains(&self, key: FleetKey) -> bool {
-        self.0.borrow().contains(&key)
+        self.confirmed.borrow().contains(&key)
     }
 
     /// Waits until a backend is silent.
     pub async fn until_silent(&self, key: FleetKey) {
         // The sender is not dropped while it is borrowed, so the wait cannot fail.
-        let _ = self.0.subscribe().wait_for(|silent| silent.contains(&key)).await;
+        let _ = self.confirmed.subscribe().wait_for(|silent| silent.contains(&key)).await;
     }
 }
