Notice a caller that leaves while bytes after its request are unread

Callers that left were served to the deadline if anything followed their request on the connection, such as a line end or the beginning of another request. The gateway now waits for the end of the caller's data on the socket itself, with an interest that unread bytes do not satisfy, and drops the connection with the request on it.

Ruled out: reading on, which would have to buffer without a bound what the server does not take.

--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use tokio_util::io::InspectReader;
 
+use crate::caller_stream::CallerStream;
 use crate::request_handler::Gateway;
 use crate::response_body::ResponseBody;
 use crate::sockets;
@@ -157,6 +158,8 @@
         header_since: Cell::new(None),
     });
     let (service_activity, received) = (Rc::clone(&activity), Rc::clone(&activity));
+    let stream = CallerStream::new(stream);
+    let caller = stream.clone();
     let stream = InspectReader::new(stream, move |bytes: &[u8]| received.record_received(bytes));
     let service = service_fn(move |request: Request<Incoming>| {
         let active = ActiveRequest::begin(&service_activity);
@@ -184,6 +187,11 @@
                 }
                 return;
             }
+            // The server does not notice the close while it holds bytes that follow the request.
+            () = caller.closed_by_caller() => {
+                log::debug!("connection closed by the caller");
+                return;
+            }
             changed = phase.changed(), if !is_closing => {
                 let is_closed = changed.is_err() || *phase.borrow() == Phase::Closed;
                 if activity.is_used.get() || is_closed {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backend;
 pub mod backend_reader;
 pub mod call;
+pub mod caller_stream;
 pub mod callers;
 pub mod clock;
 pub mod context;
--- a/daemon/tests/departures.rs
+++ b/daemon/tests/departures.rs
@@ -6,8 +6,10 @@
 
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
-    self, ClientRequest, Deployment, ONCE, STREAM, Shape, wait_until,
+    self, ClientRequest, Deployment, ONCE, STREAM, Shape, encode_request, wait_until,
 };
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 fn has_left(deployment: &Deployment, id: &str) -> bool {
     let log = std::fs::read_to_string(deployment.gateways[0].process.log_path()).unwrap();
@@ -37,3 +39,16 @@
         assert!(!has_left(&deployment, id));
     }
 }
+
+#[tokio::test]
+async fn unread_bytes() {
+    let (deployment, _directory) = harness::start_serving(Shape::default()).await;
+    deployment.plain_backends[0].queue_faults([Fault::Hang]);
+    let request = encode_request(&ClientRequest::new("POST", ONCE, "r-1"));
+    let mut caller = TcpStream::connect(deployment.gateways[0].callers).await.unwrap();
+    caller.write_all(&[request.as_slice(), b"\r\nGET"].concat()).await.unwrap();
+    wait_until(|| async { deployment.plain_backends[0].runs().len() == 1 }).await;
+    drop(caller);
+    wait_until(|| async { deployment.plain_backends[0].client_disconnects() == 1 }).await;
+    assert!(has_left(&deployment, "r-1"), "the request ended by its deadline");
+}
