--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod queue;
+pub mod rate_limit;
 pub mod reader;
 pub mod rebalance;
 pub mod response;
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -10,7 +10,7 @@
 use currantlink_core::ids::WorkspaceName;
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_platform::request::{self, BackendRequest};
-use currantlink_platform::response::{self, ResponseMetadata};
+use currantlink_platform::response::{self, NamedRate, ResponseMetadata};
 use http::{Method, Response};
 
 use crate::clock::now_ms;
@@ -202,6 +202,7 @@
             }
         };
         self.pool.record_heard(key, now_ms());
+        self.record_rate(key, &member.id, &metadata);
         let status = metadata.status;
         let response = Box::new(BackendResponse {
             head,
@@ -239,6 +240,31 @@
         }
     }
 
+    /// Records the request rate that a backend names in a response.
+    fn record_rate(&self, key: FleetKey, backend: &str, metadata: &ResponseMetadata) {
+        let is_own = metadata.status != http::StatusCode::MISDIRECTED_REQUEST;
+        let is_response = metadata.is_signed || metadata.not_run;
+        let mut observations = self.observations.borrow_mut();
+        let before = observations.named_rates.get(&key).copied();
+        match metadata.rate {
+            _ if !is_own || !is_response => {}
+            NamedRate::Limit(rate) if before == Some(rate) => {}
+            NamedRate::Limit(rate) => {
+                observations.named_rates.insert(key, rate);
+                log::info!(backend, rate_per_s:% = rate; "backend names a rate limit");
+            }
+            NamedRate::Unlimited => {
+                if observations.named_rates.swap_remove(&key).is_some() {
+                    log::info!(backend; "backend names no rate limit any more");
+                }
+            }
+            NamedRate::Invalid => {
+                metrics::counter!("currantlink_invalid_rates_total").increment(1);
+                log::warn!(backend; "backend names an invalid rate limit");
+            }
+        }
+    }
+
     /// Waits for `reading`, or returns `None` if its backend falls silent and the request may run
     /// again elsewhere.
     pub(crate) async fn unless_silent<T>(
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -11,6 +11,7 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
 use currantlink_core::ids::WorkspaceName;
+use currantlink_core::rate_limit::RequestRate;
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -67,6 +68,8 @@
     pub(crate) health: Health<FleetKey>,
     /// Backends whose address was found to be served by another backend.
     pub(crate) misdirected: IndexSet<FleetKey>,
+    /// Request rates that backends name.
+    pub(crate) named_rates: IndexMap<FleetKey, RequestRate>,
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
@@ -216,6 +219,7 @@
         let mut observations = self.observations.borrow_mut();
         observations.health.retain(known);
         observations.misdirected.retain(|&key| known(key));
+        observations.named_rates.retain(|&key, _| known(key));
     }
 
     /// Determines which of the backends with an agent are silent.
