--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use currantlink_core::switch::{Action, ExpertMap, Order};
 use currantlink_platform::names;
@@ -88,6 +88,8 @@
     arrivals: u64,
     client_disconnects: u64,
     active: u32,
+    named_rate: Option<String>,
+    arrived_at: Vec<Instant>,
 }
 
 struct IncomingRequest {
@@ -167,6 +169,16 @@
         self.state().arrivals
     }
 
+    /// Returns when each request was received.
+    pub fn arrival_times(&self) -> Vec<Instant> {
+        self.state().arrived_at.clone()
+    }
+
+    /// Sets the request rate that all following responses name, if any.
+    pub fn name_rate(&self, rate: Option<&str>) {
+        self.state().named_rate = rate.map(str::to_owned);
+    }
+
     /// Returns the number of requests whose client disconnected before the response was complete.
     pub fn client_disconnects(&self) -> u64 {
         self.state().client_disconnects
@@ -206,8 +218,11 @@
         let fault = {
             let mut state = self.state();
             state.arrivals += 1;
+            state.arrived_at.push(Instant::now());
             state.faults.pop_front().unwrap_or(Fault::None)
         };
+        let rate = self.state().named_rate.clone();
+        let rate_header = rate.as_deref().map(|rate| (names::RATE_LIMIT, rate));
         if expected.is_some_and(|expected| expected != self.id) {
             write_response(
                 stream,
@@ -220,6 +235,7 @@
         }
         if fault == Fault::Refuse {
             let headers = [(names::NOT_RUN, "1"), (names::ATTEMPT_ID, id.as_str())];
+            let headers: Vec<_> = headers.into_iter().chain(rate_header).collect();
             write_response(stream, "503 Service Unavailable", &headers, b"").await?;
             return Ok(true);
         }
@@ -227,6 +243,7 @@
         let signature = format!("{}.{id}", self.id);
         let signed_headers =
             [(names::ATTEMPT_ID, id.as_str()), (names::SIGNATURE, signature.as_str())];
+        let signed_headers: Vec<_> = signed_headers.into_iter().chain(rate_header).collect();
         let body = format!("{id} by {}", self.id);
         match fault {
             Fault::LoseResponse => Ok(false),
