Divide a backend's rate limit among all gateways

Backends that named a limit of requests a second got as many requests as before (LIMIT: 15 in 4 s where 11 are allowed), as nothing read what they name. Class: a figure meant for all processes together that each would have to keep to, which no process can do alone.

core/rate_limit divides it without agreement: each gateway ranks the gateways that it knows by a hash with the backend; the first 4 + limit of them send, each an equal part, with nothing saved up beyond one request and none at the start. The sum in 4 s is at most 5 x limit + 4, of 6 x limit + 5 allowed; the rest covers gateways that know different peers. Every request counts, retries and resumed streams too, as it is taken where a backend is placed. A response without the limit lifts it if its request was sent after the limit was named; so does a restart of the backend. Limits travel with the hello messages between gateways by age, the latest counts, so that new gateways start right and those without a part learn that a limit is lifted. A backend is used at 0.25 a second in any case, since only a response can lift its limit. Requests go to other backends; where all are limited they are rejected at once with the time after which one takes a request.

Ruled out: the whole limit in each gateway (breaks with the second one); limit / gateways in each (360 gateways save up 360 requests, and one request in six minutes each shows nothing).

--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -1,8 +1,30 @@
 //! Request rates that backends in need name for all gateways together.
+//!
+//! Gateways divide a rate without agreeing on it: each ranks the gateways that it knows by a hash with
+//! the backend, and the first of them send to the backend, at an equal part of the rate each. An
+//! unused part is not saved up beyond one request, so the requests of all in some seconds exceed the
+//! rate by one request a gateway at most; the number of gateways that send is bounded for this. What
+//! a backend said last is passed on between gateways by its age.
+
+use std::hash::Hash;
 
 use derive_more::{Display, Error};
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const MILLI_PER_UNIT: f64 = 1_000.0;
+const MS_PER_S: f64 = 1_000.0;
+/// Number of gateways that send to a backend with a rate below one request per second. Each request
+/// per second adds a gateway.
+const MIN_SENDERS: usize = 4;
+/// Rate at which a backend is used in any case. Only a response can lift a limit.
+const MIN_RATE_PER_S: f64 = 0.25;
+/// Requests that a part of a rate saves up.
+const MAX_TOKENS: f64 = 1.0;
+/// Number of gateways assumed while they are unknown. It exceeds that of small deployments.
+const ASSUMED_GATEWAYS: usize = 8;
+/// Time for which other gateways are told of a lifted limit.
+const LIFTED_ANNOUNCE_MS: u64 = 10_000;
 
 /// A rate of requests, in steps of a thousandth of a request per second.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -37,3 +59,201 @@
         }
     }
 }
+
+/// What a backend said of its limit, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// Limit, or `None` if the backend named none.
+    pub limit: Option<RequestRate>,
+    /// Time of the response.
+    pub seen_at_ms: u64,
+}
+
+/// Change of the limit that is known of a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// The limit is the same as before.
+    Unchanged,
+    /// The backend has this limit now.
+    Limited(RequestRate),
+    /// The backend has no limit any more.
+    Lifted,
+}
+
+/// Whether a request may be sent to a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// The request may be sent now.
+    Now,
+    /// A request may be sent after this time, by this gateway or another one.
+    After {
+        /// Time to wait.
+        wait_ms: u64,
+    },
+}
+
+/// Limits of all backends, and this gateway's parts of them.
+#[derive(Clone, Debug)]
+pub struct RateLimits<K> {
+    own_name: String,
+    /// Names of all gateways, or `None` while they are unknown.
+    gateways: Option<Vec<String>>,
+    backends: IndexMap<K, BackendLimit>,
+}
+
+#[derive(Clone, Debug)]
+struct BackendLimit {
+    /// Id of the backend.
+    id: String,
+    sighting: Sighting,
+    /// This gateway's part of the limit.
+    part_per_s: f64,
+    tokens: f64,
+    refilled_at_ms: u64,
+}
+
+impl<K: Copy + Eq + Hash> RateLimits<K> {
+    /// Creates the limits of the gateway `own_name`; no backend has a limit.
+    pub fn new(own_name: &str) -> Self {
+        Self { own_name: own_name.to_owned(), gateways: None, backends: IndexMap::new() }
+    }
+
+    /// Replaces the names of the gateways, this one included, and divides all limits anew.
+    pub fn set_gateways(&mut self, gateways: Option<Vec<String>>, now_ms: u64) {
+        if self.gateways == gateways {
+            return;
+        }
+        self.gateways = gateways;
+        for backend in self.backends.values_mut() {
+            backend.refill(now_ms);
+            backend.part_per_s = part_per_s(backend, &self.own_name, self.gateways.as_deref());
+        }
+    }
+
+    /// Records a response of a backend to a request that was sent at `sent_at_ms`.
+    ///
+    /// A response without a limit lifts it only if the request was sent after the limit was named:
+    /// the head of an older one may have been on its way.
+    pub fn record_response(
+        &mut self,
+        key: K,
+        id: &str,
+        limit: Option<RequestRate>,
+        sent_at_ms: u64,
+        now_ms: u64,
+    ) -> LimitChange {
+        let known = self.backends.get(&key).map(|backend| backend.sighting);
+        let is_current = limit.is_some()
+            || known.is_some_and(|known| known.limit.is_some() && sent_at_ms >= known.seen_at_ms);
+        match is_current {
+            true => self.observe(key, id, Sighting { limit, seen_at_ms: now_ms }, now_ms),
+            false => LimitChange::Unchanged,
+        }
+    }
+
+    /// Records what was seen of a backend, here or by another gateway. The latest sighting counts.
+    pub fn observe(&mut self, key: K, id: &str, sighting: Sighting, now_ms: u64) -> LimitChange {
+        let known = self.backends.get(&key).map(|backend| backend.sighting);
+        if known.is_some_and(|known| known.seen_at_ms >= sighting.seen_at_ms) {
+            return LimitChange::Unchanged;
+        }
+        let backend = self.backends.entry(key).or_insert_with(|| BackendLimit {
+            id: id.to_owned(),
+            sighting,
+            part_per_s: 0.0,
+            tokens: 0.0,
+            refilled_at_ms: now_ms,
+        });
+        backend.refill(now_ms);
+        backend.sighting = sighting;
+        backend.part_per_s = part_per_s(backend, &self.own_name, self.gateways.as_deref());
+        match (known.and_then(|known| known.limit), sighting.limit) {
+            (before, after) if before == after => LimitChange::Unchanged,
+            (None, Some(rate)) => {
+                backend.tokens = 0.0;
+                LimitChange::Limited(rate)
+            }
+            (_, Some(rate)) => LimitChange::Limited(rate),
+            (_, None) => LimitChange::Lifted,
+        }
+    }
+
+    /// Returns whether a request may be sent to a backend.
+    pub fn permit(&self, key: K, now_ms: u64) -> Permit {
+        let Some((backend, limit)) = self.limited(key) else {
+            return Permit::Now;
+        };
+        let tokens = backend.tokens_at(now_ms);
+        // A gateway without a part refers to those that have one.
+        let (missing, rate_per_s) = match backend.part_per_s > 0.0 {
+            true => (MAX_TOKENS - tokens, backend.part_per_s),
+            false => (MAX_TOKENS, usable_per_s(limit)),
+        };
+        match missing <= 0.0 {
+            true => Permit::Now,
+            false => Permit::After { wait_ms: (missing / rate_per_s * MS_PER_S).ceil() as u64 },
+        }
+    }
+
+    /// Counts a request that is sent to a backend.
+    pub fn record_request(&mut self, key: K, now_ms: u64) {
+        if let Some(backend) = self.backends.get_mut(&key) {
+            backend.refill(now_ms);
+            backend.tokens = (backend.tokens - 1.0).max(0.0);
+        }
+    }
+
+    /// Returns the sightings that other gateways are told, with keys and ages.
+    pub fn announced(&self, now_ms: u64) -> impl Iterator<Item = (K, Option<RequestRate>, u64)> {
+        let age_ms = move |sighting: Sighting| now_ms.saturating_sub(sighting.seen_at_ms);
+        let sightings = self.backends.iter().map(|(&key, backend)| (key, backend.sighting));
+        sightings
+            .map(move |(key, sighting)| (key, sighting.limit, age_ms(sighting)))
+            .filter(|&(_, limit, age_ms)| limit.is_some() || age_ms < LIFTED_ANNOUNCE_MS)
+    }
+
+    /// Removes the backends for which `known` returns false.
+    pub fn retain(&mut self, known: impl Fn(K) -> bool) {
+        self.backends.retain(|&key, _| known(key));
+    }
+
+    fn limited(&self, key: K) -> Option<(&BackendLimit, RequestRate)> {
+        let backend = self.backends.get(&key)?;
+        Some((backend, backend.sighting.limit?))
+    }
+}
+
+impl BackendLimit {
+    fn tokens_at(&self, now_ms: u64) -> f64 {
+        let elapsed_s = now_ms.saturating_sub(self.refilled_at_ms) as f64 / MS_PER_S;
+        (self.tokens + elapsed_s * self.part_per_s).min(MAX_TOKENS)
+    }
+
+    fn refill(&mut self, now_ms: u64) {
+        self.tokens = self.tokens_at(now_ms);
+        self.refilled_at_ms = now_ms.max(self.refilled_at_ms);
+    }
+}
+
+fn usable_per_s(limit: RequestRate) -> f64 {
+    limit.per_second().max(MIN_RATE_PER_S)
+}
+
+/// Returns a gateway's part of a backend's limit; 0 if others send to the backend.
+fn part_per_s(backend: &BackendLimit, own_name: &str, gateways: Option<&[String]>) -> f64 {
+    let Some(limit) = backend.sighting.limit else {
+        return 0.0;
+    };
+    let senders = MIN_SENDERS.saturating_add(limit.per_second() as usize);
+    let Some(gateways) = gateways else {
+        return usable_per_s(limit) / ASSUMED_GATEWAYS as f64;
+    };
+    let seed = xxh3_64_with_seed(backend.id.as_bytes(), 0);
+    let rank = |name: &str| (xxh3_64_with_seed(name.as_bytes(), seed), name.to_owned());
+    let own = rank(own_name);
+    let before_own = gateways.iter().filter(|name| rank(name) < own).count();
+    match before_own < senders {
+        true => usable_per_s(limit) / senders.min(gateways.len().max(1)) as f64,
+        false => 0.0,
+    }
+}
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -178,6 +178,7 @@
         let head = request::encode_head(&self.backend_request(call, member, last_event_id));
         let body = call.body.as_deref().unwrap_or_default();
         relay.record_dispatch();
+        let sent_at_ms = now_ms();
         let reading = Self::read_own_response(call, &mut upstream, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
         let read = match self.unless_silent(call, key, reading).await {
@@ -202,7 +203,7 @@
             }
         };
         self.pool.record_heard(key, now_ms());
-        self.record_rate(key, &member.id, &metadata);
+        self.record_rate(key, &member.id, &metadata, sent_at_ms);
         let status = metadata.status;
         let response = Box::new(BackendResponse {
             head,
@@ -240,29 +241,27 @@
         }
     }
 
-    /// Records the request rate that a backend names in a response.
-    fn record_rate(&self, key: FleetKey, backend: &str, metadata: &ResponseMetadata) {
+    /// Records the rate limit that a backend names in a response, or that it names none.
+    fn record_rate(
+        &self,
+        key: FleetKey,
+        backend: &str,
+        metadata: &ResponseMetadata,
+        sent_at_ms: u64,
+    ) {
         let is_own = metadata.status != http::StatusCode::MISDIRECTED_REQUEST;
         let is_response = metadata.is_signed || metadata.not_run;
-        let mut observations = self.observations.borrow_mut();
-        let before = observations.named_rates.get(&key).copied();
-        match metadata.rate {
-            _ if !is_own || !is_response => {}
-            NamedRate::Limit(rate) if before == Some(rate) => {}
-            NamedRate::Limit(rate) => {
-                observations.named_rates.insert(key, rate);
-                log::info!(backend, rate_per_s:% = rate; "backend names a rate limit");
-            }
-            NamedRate::Unlimited => {
-                if observations.named_rates.swap_remove(&key).is_some() {
-                    log::info!(backend; "backend names no rate limit any more");
-                }
-            }
+        let limit = match metadata.rate {
+            _ if !is_own || !is_response => return,
+            NamedRate::Limit(rate) => Some(rate),
+            NamedRate::Unlimited => None,
             NamedRate::Invalid => {
                 metrics::counter!("currantlink_invalid_rates_total").increment(1);
                 log::warn!(backend; "backend names an invalid rate limit");
+                return;
             }
-        }
+        };
+        self.rate_limits.record_response(key, backend, limit, sent_at_ms);
     }
 
     /// Waits for `reading`, or returns `None` if its backend falls silent and the request may run
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::error::DaemonError;
 use crate::ingress::{self, Phase};
 use crate::peers::Peers;
+use crate::rate_limits::SharedRateLimits;
 use crate::reload::Reload;
 use crate::request_handler::Gateway;
 use crate::routing_snapshot::{LoadReports, RoutingSnapshot, SharedSnapshot};
@@ -56,12 +57,15 @@
     let metrics = telemetry::install_metrics()?;
     let snapshot: SharedSnapshot = Arc::default();
     let load_reports = Arc::<LoadReports>::default();
-    let (control_snapshot, control_load_reports) =
-        (Arc::clone(&snapshot), Arc::clone(&load_reports));
+    let rate_limits = Arc::new(SharedRateLimits::new(settings.common.name()));
+    let (control_snapshot, control_load_reports, control_rate_limits) =
+        (Arc::clone(&snapshot), Arc::clone(&load_reports), Arc::clone(&rate_limits));
     let control_settings = settings.clone();
-    control_thread(move || control(control_settings, control_snapshot, control_load_reports))?;
+    control_thread(move || {
+        control(control_settings, control_snapshot, control_load_reports, control_rate_limits)
+    })?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let gateway = Rc::new(Gateway::new(settings, snapshot, load_reports));
+    let gateway = Rc::new(Gateway::new(settings, snapshot, load_reports, rate_limits));
     LocalSet::new().block_on(&runtime, traffic(gateway, metrics, path))
 }
 
@@ -198,6 +202,7 @@
     settings: GatewaySettings,
     snapshot: SharedSnapshot,
     load_reports: Arc<LoadReports>,
+    rate_limits: Arc<SharedRateLimits>,
 ) {
     let common = &settings.common;
     let own = Peer {
@@ -221,7 +226,7 @@
     tokio::spawn(watcher::follow_config(store, updates.clone()));
     tokio::spawn(watcher::follow_backends(store, updates.clone()));
     tokio::spawn(watcher::follow_peers(store, own, updates));
-    let mut control = Control::new(peers, snapshot, load_reports);
+    let mut control = Control::new(peers, snapshot, load_reports, rate_limits);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     loop {
         tokio::select! {
@@ -246,17 +251,23 @@
     peers: Peers,
     published: SharedSnapshot,
     load_reports: Arc<LoadReports>,
+    rate_limits: Arc<SharedRateLimits>,
     snapshot: RoutingSnapshot,
     fleet: Fleet,
     leaving: VecDeque<(u64, Leaving)>,
 }
 
 impl Control {
-    fn new(peers: Peers, published: SharedSnapshot, load_reports: Arc<LoadReports>) -> Self {
+    fn new(
+        peers: Peers,
+        published: SharedSnapshot,
+        load_reports: Arc<LoadReports>,
+        rate_limits: Arc<SharedRateLimits>,
+    ) -> Self {
         let snapshot =
             RoutingSnapshot { gateway_count: ASSUMED_GATEWAYS, ..RoutingSnapshot::default() };
         let (fleet, leaving) = (Fleet::default(), VecDeque::new());
-        Self { peers, published, load_reports, snapshot, fleet, leaving }
+        Self { peers, published, load_reports, rate_limits, snapshot, fleet, leaving }
     }
 
     fn apply_update(&mut self, update: Update) {
@@ -316,6 +327,9 @@
                 for Leaving { id, born_ms } in &hello.leaving {
                     changed |= self.fleet.mark_leaving(id, *born_ms);
                 }
+                for named in &hello.named_rates {
+                    self.rate_limits.learn(&self.fleet, named);
+                }
                 if changed {
                     self.publish();
                 }
@@ -338,7 +352,10 @@
 
     async fn tick(&mut self) {
         let now = now_ms();
-        let gateway_count = self.peers.count(Role::Gateway).unwrap_or(ASSUMED_GATEWAYS);
+        let mut gateways = self.peers.names(Role::Gateway);
+        gateways.iter_mut().for_each(|names| names.sort_unstable());
+        let gateway_count = gateways.as_ref().map_or(ASSUMED_GATEWAYS, Vec::len);
+        self.rate_limits.set_gateways(gateways);
         let settled = self.fleet.remove_expired(now);
         if settled || gateway_count != self.snapshot.gateway_count {
             self.snapshot.gateway_count = gateway_count;
@@ -349,7 +366,9 @@
         }
         let config_version = self.snapshot.table.as_ref().map_or(0, |table| table.version());
         let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
-        self.peers.send_hello(|| Hello { peer: None, config_version, leaving }).await;
+        let named_rates = || self.rate_limits.announced(&self.fleet);
+        let hello = || Hello { peer: None, config_version, leaving, named_rates: named_rates() };
+        self.peers.send_hello(hello).await;
     }
 
     fn publish(&mut self) {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod platform;
 pub mod pool;
 pub mod rank_client;
+pub mod rate_limits;
 pub mod recording;
 pub mod rejection;
 pub mod reload;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -106,13 +106,18 @@
     /// Returns `None` before the key has been read from the store. Until all live peers have had
     /// time to send a hello message, all registered peers count.
     pub fn count(&self, role: Role) -> Option<usize> {
+        self.names(role).map(|names| names.len())
+    }
+
+    /// Returns the names of the processes that [`Peers::count`] counts, in no order.
+    pub fn names(&self, role: Role) -> Option<Vec<String>> {
         self.keys.first()?;
-        let own = usize::from(self.own.role() == role);
-        let others = match now_ms() < DISCOVERY_MS {
-            true => self.known.values().filter(|known| known.peer.role() == role).count(),
-            false => self.alive(role).count(),
+        let own = Some(&self.own).filter(|own| own.role() == role);
+        let others: Vec<&Peer> = match now_ms() < DISCOVERY_MS {
+            true => self.registered(role).collect(),
+            false => self.alive(role).map(|(peer, _)| peer).collect(),
         };
-        Some(own + others)
+        Some(own.into_iter().chain(others).map(|peer| peer.name.clone()).collect())
     }
 
     /// Sends a hello message to all peers if the interval has elapsed.
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -8,16 +8,23 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
 
+use currantlink_core::rate_limit::Permit;
+
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
 
+/// Maximum share by which the time until a rate limit takes a request is extended at random.
+const MAX_RATE_JITTER: f64 = 0.25;
+
 /// Backends that are eligible for a request.
 struct CandidateSet {
     candidates: Vec<Candidate>,
     /// Whether backends were excluded because this process has reached its share of their connection
     /// limit.
     is_capped: bool,
+    /// Least time after which a backend that was excluded by its rate limit takes a request.
+    rate_wait_ms: Option<u64>,
 }
 
 /// Backend selected for a request.
@@ -37,7 +44,8 @@
     /// Fails if all backends are full, their groups are forming, or none is left to try.
     pub(crate) fn place(&self, call: &Call, tried: &[FleetKey]) -> Result<Placement, Rejection> {
         let now = now_ms();
-        let CandidateSet { candidates, is_capped } = self.candidate_set(call, tried, now);
+        let CandidateSet { candidates, is_capped, rate_wait_ms } =
+            self.candidate_set(call, tried, now);
         let slots = candidates.first().map_or(1, |candidate| candidate.slots);
         let target_ms = call.route().target_ms;
         let queue_limit = least_loaded::queue_limit(
@@ -52,6 +60,7 @@
         let sample_size = least_loaded::sample_size(candidates.len(), gateways);
         match least_loaded::choose(&candidates, limits, sample_size, rand::random()) {
             Choice::Send(key) => {
+                self.rate_limits.record_request(key);
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
                 let load = chosen.map(Candidate::load);
                 let report_age_ms = chosen.and_then(|c| c.report).map(|r| r.age_ms(now));
@@ -78,11 +87,29 @@
                     report_age_ms = ages.max(); "all backend groups are forming or stalled");
                 Err(self.not_run_rejection(call, NotRunReason::Forming))
             }
-            Choice::NoBackend if is_capped => Err(self.not_run_rejection(call, NotRunReason::Full)),
-            Choice::NoBackend if tried.is_empty() => {
-                Err(self.not_run_rejection(call, NotRunReason::NoBackend))
+            Choice::NoBackend => {
+                Err(self.no_backend_rejection(call, tried, is_capped, rate_wait_ms))
+            }
+        }
+    }
+
+    fn no_backend_rejection(
+        &self,
+        call: &Call,
+        tried: &[FleetKey],
+        is_capped: bool,
+        rate_wait_ms: Option<u64>,
+    ) -> Rejection {
+        match rate_wait_ms {
+            Some(wait_ms) => {
+                log::info!(request = call.attempt_id.as_str(), wait_ms,
+                    route = call.route().name.as_str(); "backends at their rate limits");
+                metrics::counter!("currantlink_rate_limited_total").increment(1);
+                rate_rejection(wait_ms)
             }
-            Choice::NoBackend => Err(self.not_run_rejection(call, NotRunReason::RefusedByBackends)),
+            None if is_capped => self.not_run_rejection(call, NotRunReason::Full),
+            None if tried.is_empty() => self.not_run_rejection(call, NotRunReason::NoBackend),
+            None => self.not_run_rejection(call, NotRunReason::RefusedByBackends),
         }
     }
 
@@ -92,7 +119,7 @@
         let settings = self.settings();
         let domain = settings.common.failure_domain();
         let cap = (call.service().max_connections / snapshot.gateway_count.max(1) as u32).max(1);
-        let mut set = CandidateSet { candidates: Vec::new(), is_capped: false };
+        let mut set = CandidateSet { candidates: Vec::new(), is_capped: false, rate_wait_ms: None };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
             if tried.contains(&key)
                 || observations.misdirected.contains(&key)
@@ -104,6 +131,10 @@
                 set.is_capped = true;
                 continue;
             }
+            if let Permit::After { wait_ms } = self.rate_limits.permit(key) {
+                set.rate_wait_ms = Some(set.rate_wait_ms.map_or(wait_ms, |ms| ms.min(wait_ms)));
+                continue;
+            }
             let report = self.load_reports.get(member.announcement.address);
             let report = report.filter(|r| r.age_ms(now) < MAX_REPORT_AGE_MS);
             let (own_requests, sent_since_report) =
@@ -155,6 +186,14 @@
     }
 }
 
+/// Creates a rejection for a request that fits into no backend's rate limit. The jitter spreads the
+/// requests that were rejected together.
+fn rate_rejection(wait_ms: u64) -> Rejection {
+    let jitter = 1.0 + MAX_RATE_JITTER * rand::random::<f64>();
+    let retry_after = Duration::from_millis(wait_ms).mul_f64(jitter);
+    Rejection::NotRun { reason: NotRunReason::RateLimited, retry_after }
+}
+
 fn mean_running(candidates: &[Candidate]) -> f64 {
     let running = candidates.iter().map(|c| c.load().min(c.slots));
     f64::from(running.sum::<u32>()) / candidates.len().max(1) as f64
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -57,6 +57,9 @@
     /// All backends' groups are forming or stalled.
     #[display("forming")]
     Forming,
+    /// All backends that could run the request are at their rate limits.
+    #[display("rate-limited")]
+    RateLimited,
     /// No backend is listed for the service.
     #[display("no-backend")]
     NoBackend,
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -11,7 +11,6 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
 use currantlink_core::ids::WorkspaceName;
-use currantlink_core::rate_limit::RequestRate;
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -31,6 +30,7 @@
 use crate::deployment_settings::GatewaySettings;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
 use crate::pool::ConnectionPool;
+use crate::rate_limits::SharedRateLimits;
 use crate::rejection::{CONFIGURATION_RETRY_AFTER, NotRunReason, Rejection};
 use crate::response_body::ResponseBody;
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
@@ -51,6 +51,7 @@
     settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) snapshot: SharedSnapshot,
     pub(crate) load_reports: Arc<LoadReports>,
+    pub(crate) rate_limits: Arc<SharedRateLimits>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
@@ -68,8 +69,6 @@
     pub(crate) health: Health<FleetKey>,
     /// Backends whose address was found to be served by another backend.
     pub(crate) misdirected: IndexSet<FleetKey>,
-    /// Request rates that backends name.
-    pub(crate) named_rates: IndexMap<FleetKey, RequestRate>,
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
@@ -125,11 +124,13 @@
         settings: GatewaySettings,
         snapshot: SharedSnapshot,
         load_reports: Arc<LoadReports>,
+        rate_limits: Arc<SharedRateLimits>,
     ) -> Self {
         Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
             load_reports,
+            rate_limits,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
@@ -219,7 +220,7 @@
         let mut observations = self.observations.borrow_mut();
         observations.health.retain(known);
         observations.misdirected.retain(|&key| known(key));
-        observations.named_rates.retain(|&key, _| known(key));
+        self.rate_limits.retain(known);
     }
 
     /// Determines which of the backends with an agent are silent.
