Admit requests first that a silent backend has delayed

Such requests get the most urgent class now; there are few of them, and all others keep their order.

silent_backends stranded_requests checks the class; core retry: delayed_request, and silence joins the enumerated outcomes.

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -22,6 +22,9 @@
     /// Any other end without a usable response; the request may have run.
     #[display("unknown")]
     Unknown,
+    /// The backend fell silent before it responded; the request may have run.
+    #[display("silent")]
+    Silent,
     /// The backend ran the request and responded with a failure.
     #[display("failed")]
     Failed,
@@ -51,12 +54,19 @@
     remaining_attempts: u32,
     may_have_run: bool,
     dispatches: u32,
+    is_delayed: bool,
 }
 
 impl RetryState {
     /// Creates the state of a request that may be dispatched to at most `attempts` backends.
     pub fn new(repeat: Repeat, attempts: u32) -> Self {
-        Self { repeat, remaining_attempts: attempts, may_have_run: false, dispatches: 0 }
+        Self {
+            repeat,
+            remaining_attempts: attempts,
+            may_have_run: false,
+            dispatches: 0,
+            is_delayed: false,
+        }
     }
 
     /// Returns whether a backend may have run the request.
@@ -64,6 +74,11 @@
         self.may_have_run
     }
 
+    /// Returns whether a silent backend has used up part of the time that the caller waits.
+    pub fn is_delayed(&self) -> bool {
+        self.is_delayed
+    }
+
     /// Returns how many times the request was dispatched.
     pub fn dispatches(&self) -> u32 {
         self.dispatches
@@ -84,7 +99,9 @@
         outcome: Outcome,
         has_budget: impl FnOnce() -> bool,
     ) -> NextAction {
-        self.may_have_run |= matches!(outcome, Outcome::Unknown | Outcome::Failed);
+        self.may_have_run |=
+            matches!(outcome, Outcome::Unknown | Outcome::Silent | Outcome::Failed);
+        self.is_delayed |= outcome == Outcome::Silent;
         // Neither a dispatch to the wrong backend nor an attempt without a connection, which is not
         // recorded as a dispatch, counts against the allowed attempts.
         if outcome == Outcome::Misdirected {
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -4,11 +4,12 @@
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_core::routes::Repeat;
 
-const OUTCOMES: [Outcome; 5] = [
+const OUTCOMES: [Outcome; 6] = [
     Outcome::NotConnected,
     Outcome::NotRun,
     Outcome::Misdirected,
     Outcome::Unknown,
+    Outcome::Silent,
     Outcome::Failed,
 ];
 
@@ -38,7 +39,7 @@
 }
 
 fn may_have_run(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Unknown | Outcome::Failed)
+    matches!(outcome, Outcome::Unknown | Outcome::Silent | Outcome::Failed)
 }
 
 #[test]
@@ -76,6 +77,16 @@
     assert_eq!(state.attempt_ended(Outcome::Failed, || true), NextAction::ForwardFailure);
 }
 
+#[test]
+fn delayed_request() {
+    for outcome in OUTCOMES {
+        let mut state = RetryState::new(Repeat::Idempotent, 3);
+        state.record_dispatch();
+        state.attempt_ended(outcome, || true);
+        assert_eq!(state.is_delayed(), outcome == Outcome::Silent, "{outcome}");
+    }
+}
+
 #[test]
 fn exhausted_budget() {
     let mut state = RetryState::new(Repeat::Idempotent, 3);
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -24,6 +24,8 @@
 /// Timeout for connecting to a backend. A connection takes a few milliseconds; a lost SYN is
 /// retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Urgency class that backends admit first.
+const MOST_URGENT: u8 = 0;
 /// Number of responses to other requests that are skipped on a connection before the attempt fails.
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Maximum size of a response body that is not streamed.
@@ -175,14 +177,14 @@
                 }
             }
         };
-        let head = request::encode_head(&self.backend_request(call, member, last_event_id));
+        let head = request::encode_head(&self.backend_request(call, member, relay, last_event_id));
         let body = call.body.as_deref().unwrap_or_default();
         relay.record_dispatch();
         let sent_at_ms = now_ms();
         let reading = Self::read_own_response(call, &mut upstream, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
         let read = match self.unless_silent(call, key, reading).await {
-            None => return AttemptEnd::NoResponse(Outcome::Unknown),
+            None => return AttemptEnd::NoResponse(Outcome::Silent),
             Some(Ok(read)) => read,
             Some(Err(_)) => {
                 let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
@@ -324,8 +326,10 @@
         &self,
         call: &'a Call,
         member: &'a Member,
+        relay: &RetryState,
         last_event_id: Option<u64>,
     ) -> BackendRequest<'a> {
+        let urgency = if relay.is_delayed() { MOST_URGENT } else { call.urgency };
         BackendRequest {
             method: &call.method,
             target: &call.target,
@@ -334,7 +338,7 @@
             workspace: call.workspace.as_ref().map(WorkspaceName::as_str),
             has_api_keys: call.table.has_keys(),
             remaining_ms: call.remaining().as_millis() as u64,
-            urgency: call.service().engine.is_some().then_some(call.urgency),
+            urgency: call.service().engine.is_some().then_some(urgency),
             last_event_id,
             body_len: call.body.as_ref().map(Bytes::len),
         }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -91,13 +91,13 @@
                 }
                 StreamRead::Timeout => return self.truncate("timeout"),
                 StreamRead::Silent => {
-                    if !self.resume().await {
+                    if !self.resume(Outcome::Silent).await {
                         return self.truncate("silent");
                     }
                 }
                 StreamRead::Broken(error) => {
                     self.gateway.record_failure(&self.call, key, &error);
-                    if !self.resume().await {
+                    if !self.resume(Outcome::Unknown).await {
                         return self.truncate("broken");
                     }
                 }
@@ -107,13 +107,12 @@
 
     /// Resumes the stream at another backend after the last complete event. Returns whether it
     /// resumed.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self, outcome: Outcome) -> bool {
         self.backend_stream = None;
         self.pauses = None;
         self.splitter.drop_partial();
         let resumable = matches!(self.call.route().repeat, Repeat::ResumableStream { .. });
-        let next =
-            self.relay.attempt_ended(Outcome::Unknown, || self.gateway.try_spend_retry(&self.call));
+        let next = self.relay.attempt_ended(outcome, || self.gateway.try_spend_retry(&self.call));
         if !resumable || next != NextAction::Retry {
             return false;
         }
--- a/daemon/tests/silent_backends.rs
+++ b/daemon/tests/silent_backends.rs
@@ -59,10 +59,17 @@
     let is_stranded = |run: &Run| run.attempt_id.starts_with("r-");
     wait_until(|| async { deployment.model_backends[0].runs().iter().any(is_stranded) }).await;
     stop_agent(&deployment, 0);
+    let others = &deployment.model_backends[1..];
     for request in requests {
         let response = request.await.unwrap();
         assert_eq!((response.code(), response.is_complete), (200, true), "{}", response.text());
     }
+    let stranded = deployment.model_backends[0].runs();
+    let stranded = stranded.iter().filter(|run| is_stranded(run)).map(|run| &run.attempt_id);
+    for id in stranded {
+        let again = others.iter().flat_map(Backend::runs).find(|run| run.attempt_id == *id);
+        assert_eq!(again.unwrap().urgency, Some(0), "{id} is served first");
+    }
 }
 
 #[tokio::test]
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -65,6 +65,8 @@
     pub key: Option<String>,
     /// Value of the deadline header: the remaining time.
     pub deadline_ms: Option<u64>,
+    /// Value of the urgency header.
+    pub urgency: Option<u64>,
     /// Value of the `last-event-id` header.
     pub last_event_id: Option<u64>,
     /// Request body.
@@ -283,6 +285,7 @@
             workspace: request.header(names::WORKSPACE.as_str()).map(str::to_owned),
             key: request.header("authorization").map(str::to_owned),
             deadline_ms: number(names::DEADLINE_MS.as_str()),
+            urgency: number(names::URGENCY.as_str()),
             last_event_id: number(names::LAST_EVENT_ID.as_str()),
             body: request.body.clone(),
         });
