Bound the informational responses and trailers that a backend may send

A backend that sends heads or trailers without end held its request until the deadline; trailers also filled the gateway's memory, since they are kept until their end. At most 16 informational responses and 8 KiB of trailers are read; then the response is malformed, as with heads of over 32 KiB.

endless_heads and endless_trailers failed before (not ended after 5 s), and pass.

--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -20,6 +20,9 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 const READ_BUFFER_BYTES: usize = 16 << 10;
 const MAX_CHUNK_LINE_BYTES: usize = 1 << 10;
+const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// Maximum number of informational responses before the final one.
+const MAX_INFORMATIONAL: u32 = 16;
 const CRLF: &[u8] = b"\r\n";
 const CRLF_CRLF: &[u8] = b"\r\n\r\n";
 
@@ -76,6 +79,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     is_request_sent: bool,
+    /// Number of informational responses to the current request.
+    informational: u32,
     /// Whether a request has been started and its response has not ended.
     is_in_flight: bool,
 }
@@ -101,7 +106,13 @@
     /// have been sent then.
     pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = sockets::connect(address, limit).await?;
-        Ok(Self { stream, buffer: BytesMut::new(), is_request_sent: true, is_in_flight: false })
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+            is_request_sent: true,
+            informational: 0,
+            is_in_flight: false,
+        })
     }
 
     /// Returns whether another request may be sent on the connection.
@@ -124,6 +135,7 @@
     /// the request then.
     pub async fn exchange(&mut self, head: &[u8], body: &[u8]) -> Result<Head, UpstreamError> {
         self.is_request_sent = false;
+        self.informational = 0;
         self.is_in_flight = true;
         let (mut read, mut write) = self.stream.split();
         let sending = async {
@@ -137,7 +149,7 @@
         tokio::pin!(sending);
         let mut send_result = None;
         loop {
-            if let Some(response) = parse_final_head(&mut self.buffer)? {
+            if let Some(response) = parse_final_head(&mut self.buffer, &mut self.informational)? {
                 self.is_request_sent = matches!(send_result, Some(Ok(())));
                 return Ok(response);
             }
@@ -161,7 +173,7 @@
     /// Fails if the connection breaks or the response is malformed.
     pub async fn read_head(&mut self) -> Result<Head, UpstreamError> {
         loop {
-            if let Some(response) = parse_final_head(&mut self.buffer)? {
+            if let Some(response) = parse_final_head(&mut self.buffer, &mut self.informational)? {
                 return Ok(response);
             }
             if self.fill().await? == 0 {
@@ -256,14 +268,21 @@
             return Ok(Some(Framing::Chunked { remaining: size, after_chunk: true }));
         }
         let end = rest[len..].windows(CRLF_CRLF.len()).position(|w| w == CRLF_CRLF);
-        if let Some(end) = end {
-            self.buffer.advance(start + len + end + CRLF_CRLF.len());
+        match end {
+            Some(end) => {
+                self.buffer.advance(start + len + end + CRLF_CRLF.len());
+                Ok(Some(Framing::Done))
+            }
+            None if rest.len() > MAX_TRAILER_BYTES => Err(malformed("trailers are too long")),
+            None => Ok(None),
         }
-        Ok(end.map(|_| Framing::Done))
     }
 }
 
-fn parse_final_head(buffer: &mut BytesMut) -> Result<Option<Head>, UpstreamError> {
+fn parse_final_head(
+    buffer: &mut BytesMut,
+    informational: &mut u32,
+) -> Result<Option<Head>, UpstreamError> {
     loop {
         let Some((len, head)) = parse_response_head(buffer)? else {
             return Ok(None);
@@ -273,6 +292,10 @@
         if !head.status.is_informational() {
             return Ok(Some(head));
         }
+        *informational += 1;
+        if *informational > MAX_INFORMATIONAL {
+            return Err(UpstreamError::Malformed { detail: "too many informational responses" });
+        }
     }
 }
 
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 const LIMIT: Duration = Duration::from_secs(5);
+const READ_BYTES: usize = 16 << 10;
 
 async fn pair() -> (Upstream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -96,3 +97,39 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!upstream.is_reusable(), "unread bytes prevent reuse");
 }
+
+/// Sends `head`, then `repeated` without end; returns the error that ends the exchange.
+async fn endless(head: &'static [u8], repeated: &'static [u8]) -> UpstreamError {
+    let (mut upstream, mut backend) = pair().await;
+    let sending = tokio::spawn(async move {
+        backend.write_all(head).await?;
+        let many = repeated.repeat(READ_BYTES / repeated.len());
+        while backend.write_all(&many).await.is_ok() {}
+        std::io::Result::Ok(())
+    });
+    let reading = async {
+        let head = upstream.exchange(b"GET / HTTP/1.1\r\n\r\n", b"").await?;
+        let mut framing = head.framing;
+        while upstream.read_body(&mut framing).await?.is_some() {}
+        Ok(())
+    };
+    let result: Result<(), UpstreamError> = tokio::time::timeout(LIMIT, reading).await.unwrap();
+    drop(upstream);
+    sending.await.unwrap().unwrap();
+    result.unwrap_err()
+}
+
+#[tokio::test]
+async fn endless_heads() {
+    let error = endless(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n").await;
+    assert!(matches!(error, UpstreamError::Malformed { .. }), "{error}");
+    let error = endless(b"HTTP/1.1 200 OK\r\n", b"a: b\r\n").await;
+    assert!(matches!(error, UpstreamError::Malformed { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn endless_trailers() {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let error = endless(head, b"a: b\r\n").await;
+    assert!(matches!(error, UpstreamError::Malformed { .. }), "{error}");
+}
