Bound the time for the rest of a response that is not passed on

A request that a backend refused waited for the end of the refusal's body until its own deadline, although another backend would have run it: a backend whose body does not end made its callers fail. The body is read only to use the connection again, so it gets 20 ms, after which the connection is dropped.

gateway endless_refusal failed before (503, deadline) and passes.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -30,6 +30,9 @@
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Maximum size of a response body that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Time to read the body of a response that is not passed on, so that its connection can be used
+/// again. A new connection takes a few milliseconds.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// A response whose body has not been read yet.
 pub struct BackendResponse {
@@ -346,8 +349,11 @@
 
     /// Reads the body of a not-run response so that the connection can be reused.
     async fn drain_refusal(&self, call: &Call, response: Box<BackendResponse>) {
-        if let Err(error) = self.read_response_body(call, response).await {
-            log::debug!(error:% = error; "not-run response ended early");
+        let reading = self.read_response_body(call, response);
+        match tokio::time::timeout(DRAIN_TIMEOUT, reading).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::debug!(error:% = error; "not-run response ended early"),
+            Err(_) => log::debug!("not-run response not read to its end"),
         }
     }
 
--- a/daemon/tests/gateway.rs
+++ b/daemon/tests/gateway.rs
@@ -90,6 +90,18 @@
     assert!(arrivals() - before <= 2);
 }
 
+#[tokio::test]
+async fn endless_refusal() {
+    let (deployment, _directory) =
+        harness::start_serving(Shape { plain_backends: 2, ..Shape::default() }).await;
+    deployment.plain_backends[0].queue_faults([Fault::RefuseEndlessly]);
+    for index in 0..10 {
+        let reply = deployment.send_request("POST", ONCE, &format!("r-{index}")).await;
+        assert_eq!(reply.code(), 200, "{}", reply.text());
+    }
+    assert_eq!(deployment.plain_backends[0].client_disconnects(), 1, "no request was refused");
+}
+
 #[tokio::test]
 async fn wrong_backend() {
     let (deployment, _directory) = harness::start_serving(Shape::default()).await;
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -30,6 +30,8 @@
     None,
     /// The request is refused with status 503 and is not run.
     Refuse,
+    /// The request is refused as by `Refuse`, with a body that does not end.
+    RefuseEndlessly,
     /// The request is run and the response has status 500.
     Fail,
     /// The request is run and the connection is closed without a response.
@@ -241,6 +243,12 @@
             write_response(stream, "503 Service Unavailable", &headers, b"").await?;
             return Ok(true);
         }
+        if fault == Fault::RefuseEndlessly {
+            let headers = [(names::NOT_RUN, "1"), (names::ATTEMPT_ID, id.as_str())];
+            let head = response_head("503 Service Unavailable", &headers, None);
+            stream.write_all(head.as_bytes()).await?;
+            return self.hang(stream).await;
+        }
         self.record_run(request, &id);
         let signature = format!("{}.{id}", self.id);
         let signed_headers =
