--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -50,6 +50,10 @@
         let event = value(Some(interrupted), "last_event");
         return match interrupted.get("reason") {
             Some("timeout") => format!("the route's time was over after event {event}"),
+            Some("silent") => format!(
+                "backend {} fell silent after event {event}, and no other one took the stream over",
+                value(last("request placed"), "backend")
+            ),
             _ => format!("broken off after event {event} with backend {}", failed_attempt()),
         };
     }
@@ -58,6 +62,10 @@
             "answer-lost" => format!("may have run; lost with backend {}", failed_attempt()),
             "timeout" => "may have run; no answer before its time was over".to_owned(),
             "not-run: full" => full_cause(last("backends full")),
+            "not-run: rate-limited" => format!(
+                "not run; its backends were at the rate limits that they name, the next one for {} ms",
+                value(last("backends at their rate limits"), "wait_ms")
+            ),
             "not-run: forming" => {
                 "not run; the group of its backends stood still or was formed again".to_owned()
             }
@@ -71,6 +79,9 @@
             other => other.to_owned(),
         };
     }
+    if let Some(departure) = last("caller left") {
+        return format!("the caller left after {} ms", value(Some(departure), "after_ms"));
+    }
     let placed = last("request placed");
     match last("request served") {
         Some(served) => {
@@ -85,7 +96,7 @@
                 pause.unwrap_or_default(),
             )
         }
-        None if placed.is_some() => "still under way, or the caller left".to_owned(),
+        None if placed.is_some() => "still under way".to_owned(),
         None => "no line says".to_owned(),
     }
 }
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -19,6 +19,12 @@
 2026-12-03T23:18:41.720Z INFO currantlink_daemon::relayed msg="stream ended" request=stream-10 longest_pause_ms=165 mean_pause_ms=101 running=8
 2026-12-03T23:18:42.001Z INFO currantlink_daemon::placing msg="backends full" request=stream-11 route=resumable least_load=6 slots=10 queue_limit=1 running_limit=6 excess=1 candidates=72 returned=false config_version=1
 2026-12-03T23:18:42.001Z INFO currantlink_daemon::serve msg="request rejected" request=stream-11 outcome="not-run: full" status=503 after_ms=0
+2026-12-04T10:20:11.101Z INFO currantlink_daemon::placement msg="backends at their rate limits" request=plain-12 wait_ms=640 route=once
+2026-12-04T10:20:11.101Z INFO currantlink_daemon::request_handler msg="request rejected" request=plain-12 outcome="not-run: rate-limited" status=503 after_ms=0
+2026-12-04T10:20:12.301Z INFO currantlink_daemon::placement msg="request placed" request=stream-13 route=resumable backend=model-0 load=5 report_age_ms=15 candidates=12 queue_limit=3 running_limit=12 tried=0 config_version=1
+2026-12-04T10:20:14.300Z INFO currantlink_daemon::departure msg="caller left" request=stream-13 after_ms=1999
+2026-12-04T10:20:15.001Z INFO currantlink_daemon::placement msg="request placed" request=stream-14 route=resumable backend=model-0 load=5 report_age_ms=15 candidates=12 queue_limit=3 running_limit=12 tried=0 config_version=1
+2026-12-04T10:20:15.700Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-14 reason=silent after_ms=699 last_event=4
 "#;
 
 fn explain(request: &str) -> (bool, String, String) {
@@ -66,6 +72,28 @@
     assert_eq!(out.lines().last(), Some(cause));
 }
 
+#[test]
+fn rate_limited() {
+    let (_, out, _) = explain("plain-12");
+    let cause = "cause: not run; its backends were at the rate limits that they name, the next one \
+                 for 640 ms";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
+#[test]
+fn caller_left() {
+    let (_, out, _) = explain("stream-13");
+    assert_eq!(out.lines().last(), Some("cause: the caller left after 1999 ms"));
+}
+
+#[test]
+fn silent_backend() {
+    let (_, out, _) = explain("stream-14");
+    let cause = "cause: backend model-0 fell silent after event 4, and no other one took the \
+                 stream over";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
 #[test]
 fn unknown_request() {
     let (success, _, err) = explain("nothing");
