Tell other gateways only of the rate limits that this one has seen itself

Found on reading the division of limits again. A sighting that is passed on looks newer by the delay of each message, and every gateway passed on what it had learned: with many gateways, or one that reads old messages after a freeze, an outdated limit could stay newer than the response that lifts it, and an outdated lift newer than the limit. Only the gateway that got the response tells of it now; a delayed message misleads its receiver alone, until the next response.

--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -4,7 +4,7 @@
 //! the backend, and the first of them send to the backend, at an equal part of the rate each. An
 //! unused part is not saved up beyond one request, so the requests of all in some seconds exceed the
 //! rate by one request a gateway at most; the number of gateways that send is bounded for this. What
-//! a backend said last is passed on between gateways by its age.
+//! a backend said last is told to other gateways with its age.
 
 use std::hash::Hash;
 
@@ -106,6 +106,8 @@
     /// Id of the backend.
     id: String,
     sighting: Sighting,
+    /// Whether the response came to this gateway.
+    is_own: bool,
     /// This gateway's part of the limit.
     part_per_s: f64,
     tokens: f64,
@@ -146,13 +148,27 @@
         let is_current = limit.is_some()
             || known.is_some_and(|known| known.limit.is_some() && sent_at_ms >= known.seen_at_ms);
         match is_current {
-            true => self.observe(key, id, Sighting { limit, seen_at_ms: now_ms }, now_ms),
+            true => {
+                let sighting = Sighting { limit, seen_at_ms: now_ms };
+                self.record_sighting(key, id, sighting, true, now_ms)
+            }
             false => LimitChange::Unchanged,
         }
     }
 
-    /// Records what was seen of a backend, here or by another gateway. The latest sighting counts.
+    /// Records what another gateway has seen of a backend. The latest sighting counts.
     pub fn observe(&mut self, key: K, id: &str, sighting: Sighting, now_ms: u64) -> LimitChange {
+        self.record_sighting(key, id, sighting, false, now_ms)
+    }
+
+    fn record_sighting(
+        &mut self,
+        key: K,
+        id: &str,
+        sighting: Sighting,
+        is_own: bool,
+        now_ms: u64,
+    ) -> LimitChange {
         let known = self.backends.get(&key).map(|backend| backend.sighting);
         if known.is_some_and(|known| known.seen_at_ms >= sighting.seen_at_ms) {
             return LimitChange::Unchanged;
@@ -160,12 +176,14 @@
         let backend = self.backends.entry(key).or_insert_with(|| BackendLimit {
             id: id.to_owned(),
             sighting,
+            is_own,
             part_per_s: 0.0,
             tokens: 0.0,
             refilled_at_ms: now_ms,
         });
         backend.refill(now_ms);
         backend.sighting = sighting;
+        backend.is_own = is_own;
         backend.part_per_s = part_per_s(backend, &self.own_name, self.gateways.as_deref());
         match (known.and_then(|known| known.limit), sighting.limit) {
             (before, after) if before == after => LimitChange::Unchanged,
@@ -204,9 +222,13 @@
     }
 
     /// Returns the sightings that other gateways are told, with keys and ages.
+    ///
+    /// Only own ones: the delay of each message makes a sighting look newer, so that sightings which
+    /// are passed on again and again would outlive what contradicts them.
     pub fn announced(&self, now_ms: u64) -> impl Iterator<Item = (K, Option<RequestRate>, u64)> {
         let age_ms = move |sighting: Sighting| now_ms.saturating_sub(sighting.seen_at_ms);
-        let sightings = self.backends.iter().map(|(&key, backend)| (key, backend.sighting));
+        let own = self.backends.iter().filter(|(_, backend)| backend.is_own);
+        let sightings = own.map(|(&key, backend)| (key, backend.sighting));
         sightings
             .map(move |(key, sighting)| (key, sighting.limit, age_ms(sighting)))
             .filter(|&(_, limit, age_ms)| limit.is_some() || age_ms < LIFTED_ANNOUNCE_MS)
--- a/core/tests/rate_limit.rs
+++ b/core/tests/rate_limit.rs
@@ -161,6 +161,22 @@
     assert_ne!(limits.permit(BACKEND, 1_100), Permit::Now, "no burst at the start");
 }
 
+#[test]
+fn delayed_echoes() {
+    let mut first = told(0, 2, 1.0, 0);
+    first.record_response(BACKEND, ID, Some(rate(1.0)), 50, 100);
+    let mut second = told(1, 2, 1.0, 0);
+    // Each message is read some time after it was sent, which makes its content look newer.
+    let delay_ms = 60;
+    for now_ms in (500..20_000).step_by(500) {
+        for (_, limit, age_ms) in first.announced(now_ms).collect::<Vec<_>>() {
+            let seen_at_ms = now_ms + delay_ms - age_ms;
+            second.observe(BACKEND, ID, Sighting { limit, seen_at_ms }, now_ms + delay_ms);
+        }
+        assert_eq!(second.announced(now_ms).count(), 0, "what was learned is not passed on");
+    }
+}
+
 #[test]
 fn time_to_wait() {
     let mut limits = told(0, 1, 2.0, 0);
