End a queued call at a side at its caller's deadline

A call that waited in a side's queue ran on after its caller's deadline, for as long as it had waited: the time left was taken when the call was sent and counted anew from its start. Entries cancel idempotent calls that they give up, so this concerns calls with a ticket, and cancellations that are lost. The deadline is kept from the submission on.

--- a/daemon/src/side_control.rs
+++ b/daemon/src/side_control.rs
@@ -113,6 +113,7 @@
     submit: Option<Box<Submit>>,
     recording: Arc<Recording>,
     cancel: CancellationToken,
+    deadline_ms: u64,
 }
 
 /// Control state of a side, owned by the control thread.
@@ -231,7 +232,12 @@
             |c: &Command| matches!(c, Command::Start(k) | Command::Enqueue(k) if *k == key);
         if !is_known && commands.iter().any(is_admitted) {
             let recording = Recording::new(self.setup.max_response_bytes);
-            let job = Job { submit: Some(submit), recording, cancel: CancellationToken::new() };
+            let job = Job {
+                deadline_ms: now_ms.saturating_add(submit.remaining_ms),
+                submit: Some(submit),
+                recording,
+                cancel: CancellationToken::new(),
+            };
             self.jobs.insert(key.clone(), job);
         }
         for command in &commands {
@@ -407,7 +413,7 @@
         }
         let (recording, cancel) = (Arc::clone(&job.recording), job.cancel.clone());
         let (client, events) = (self.setup.client.clone(), self.events.clone());
-        let limit = Duration::from_millis(submit.remaining_ms);
+        let limit = Duration::from_millis(job.deadline_ms.saturating_sub(clock::now_ms()));
         self.setup.traffic.spawn(async move {
             let started = Instant::now();
             client.run(&submit, &recording, limit, cancel).await;
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Restarts the process with some of its settings replaced.
+    pub fn restart_with(&mut self, values: &Value) {
+        self.kill();
+        let mut settings: Value =
+            serde_json::from_slice(&std::fs::read(&self.settings).unwrap()).unwrap();
+        settings.as_object_mut().unwrap().extend(values.as_object().unwrap().clone());
+        std::fs::write(&self.settings, settings.to_string()).unwrap();
+        self.start();
+    }
+
     /// Sends SIGTERM and waits for the exit. Returns whether the exit status is success.
     pub fn stop(&mut self) -> bool {
         self.signal(Signal::SIGTERM);
@@ -142,6 +152,15 @@
 }
 
 impl System {
+    /// Starts one entry and one side of a plain service, with some of their settings replaced.
+    pub async fn start_with(call_ms: u64, side: Value, entry: Value) -> System {
+        let mut system = System::start(Topology { call_ms, ..Topology::default() }).await;
+        system.sides[0].restart_with(&side);
+        system.entries[0].restart_with(&entry);
+        system.wait_ready().await;
+        system
+    }
+
     /// Starts all processes and waits until every entry can dispatch to every backend.
     pub async fn start(topology: Topology) -> Self {
         let mut system = Self::start_stand_ins(topology).await;
--- a/daemon/tests/side_stop.rs
+++ b/daemon/tests/side_stop.rs
@@ -6,32 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Daemon, System, Topology, until};
+use common::{System, until};
 use nix::sys::signal::Signal;
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// Longer than the time for which a side waits for the call of a ticket.
 const TICKET_WAIT: Duration = Duration::from_millis(2_200);
 /// Longer than an idle side takes to decide that it exits, and shorter than until it exits.
 const IDLE_WAIT: Duration = Duration::from_millis(100);
 
-fn set(daemon: &mut Daemon, values: &Value) {
-    daemon.kill();
-    let path = daemon.settings_path();
-    let mut settings: Value = serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap();
-    settings.as_object_mut().unwrap().extend(values.as_object().unwrap().clone());
-    std::fs::write(path, settings.to_string()).unwrap();
-    daemon.start();
-}
-
-async fn start(call_ms: u64, side: Value, entry: Value) -> System {
-    let mut system = System::start(Topology { call_ms, ..Topology::default() }).await;
-    set(&mut system.sides[0], &side);
-    set(&mut system.entries[0], &entry);
-    system.wait_ready().await;
-    system
-}
-
 async fn stop_side(system: &System) {
     system.sides[0].signal(Signal::SIGTERM);
     system.wait_for(0, |backends| backends[0]["draining"] == true).await;
@@ -39,7 +22,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_side_takes_no_call() {
-    let system = start(1_500, json!({}), json!({})).await;
+    let system = System::start_with(1_500, json!({}), json!({})).await;
     let ticket = system.ticket(0).await;
     tokio::time::sleep(TICKET_WAIT).await;
     stop_side(&system).await;
@@ -51,7 +34,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn call_beyond_grace() {
-    let system = start(4_000, json!({ "grace_ms": 1_500 }), json!({})).await;
+    let system = System::start_with(4_000, json!({ "grace_ms": 1_500 }), json!({})).await;
     let ticket = system.ticket(0).await;
     stop_side(&system).await;
     let reply = system.present(0, &ticket, "long").await.unwrap();
@@ -62,7 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn queued_beyond_grace() {
     let side = json!({ "grace_ms": 3_000, "max_running": 1 });
-    let system = Arc::new(start(2_000, side, json!({})).await);
+    let system = Arc::new(System::start_with(2_000, side, json!({})).await);
     let mut calls = Vec::new();
     for body in ["first", "second", "third", "fourth"] {
         let (system, ticket) = (Arc::clone(&system), system.ticket(0).await);
@@ -80,7 +63,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_on_lost_link() {
-    let system = Arc::new(start(300, json!({}), json!({ "silence_ms": 1_000 })).await);
+    let system = Arc::new(System::start_with(300, json!({}), json!({ "silence_ms": 1_000 })).await);
     let ticket = system.ticket(0).await;
     tokio::time::sleep(TICKET_WAIT).await;
     let background = Arc::clone(&system);
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -17,6 +17,9 @@
     pub by_id: IndexMap<String, u64>,
     /// Number of runs started, by request body.
     pub by_body: IndexMap<String, u64>,
+    /// Number of runs completed, by request body. A run ends early if its connection is closed.
+    #[serde(default)]
+    pub completed_by_body: IndexMap<String, u64>,
 }
 
 /// Response body that echoes the request.
@@ -83,6 +86,7 @@
         if !self.request_duration.is_zero() {
             tokio::time::sleep(self.request_duration).await;
         }
+        *self.lock().completed_by_body.entry(echo.body.clone()).or_default() += 1;
         server::json(&echo)
     }
 
