--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -12,6 +12,8 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::share::ASSUMED_GATEWAYS;
+
 const MILLI_PER_UNIT: f64 = 1_000.0;
 const MS_PER_S: f64 = 1_000.0;
 /// Number of gateways that send to a backend with a rate below one request per second. Each request
@@ -21,8 +23,6 @@
 const MIN_RATE_PER_S: f64 = 0.25;
 /// Requests that a part of a rate saves up.
 const MAX_TOKENS: f64 = 1.0;
-/// Number of gateways assumed while they are unknown. It exceeds that of small deployments.
-const ASSUMED_GATEWAYS: usize = 8;
 /// Time for which other gateways are told of a lifted limit.
 const LIFTED_ANNOUNCE_MS: u64 = 10_000;
 
--- a/core/src/share.rs
+++ b/core/src/share.rs
@@ -2,6 +2,9 @@
 
 use std::collections::VecDeque;
 
+/// Number of gateways assumed while the actual number is unknown. It exceeds that of small
+/// deployments, so that shared limits are not exceeded.
+pub const ASSUMED_GATEWAYS: usize = 8;
 const BUCKET_MS: u64 = 500;
 /// Fraction of the common budget that is used. The margin covers differences between the clocks and
 /// windows of the gateways.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
+use currantlink_core::share::ASSUMED_GATEWAYS;
 use currantlink_core::stop::{Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message};
@@ -42,9 +43,6 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between evictions of expired connections and removed backends.
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of gateways assumed while the actual number is unknown. It exceeds that of small
-/// deployments, so that shared limits are not exceeded.
-const ASSUMED_GATEWAYS: usize = 8;
 /// Time for which a leaving backend is announced to peers.
 const LEAVING_ANNOUNCE_MS: u64 = 10_000;
 
