Log the prompt parts and fingerprints of failed requests, and tell crashes from other ends

Callers saw streams break off one after the other while backends crashed. The logs could not tell the hypotheses of docs/incidents/crashing-prompt-part.md apart: a failed attempt named neither the parts of its prompt nor anything that stays the same when a client sends it again, and a crash looked like a reset at a backend that goes on.

When a connection ends with a request in flight, the gateway connects once: a refused connection shows that the backend's process has ended; an accepted one is kept for the next request. No decision depends on it yet.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use derive_more::{Display, Error, From};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Length of a request id in bytes.
 pub const REQUEST_ID_LEN: usize = 16;
@@ -88,3 +89,38 @@
     /// Number of the attempt, from 0.
     pub attempt: u32,
 }
+
+/// Part of a prompt, which several requests may share.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
+#[display("{_0:x}")]
+pub struct PromptPart(pub u64);
+
+/// The text is not the id of a part of a prompt.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("id of a prompt part must have 1 to 16 hexadecimal digits")]
+pub struct PromptPartError;
+
+impl FromStr for PromptPart {
+    type Err = PromptPartError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| PromptPartError)
+    }
+}
+
+/// Hash of a request's content. Equal requests of a workspace have the same fingerprint.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
+#[display("{_0:016x}")]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request with these fields.
+    pub fn of(fields: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest())
+    }
+}
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -86,6 +86,7 @@
                 }
                 Err(error) => {
                     self.record_failure(call, key, &error);
+                    self.check_lost(call, key, &error).await;
                     let next = relay.attempt_ended(Outcome::Unknown, || self.try_spend_retry(call));
                     if next != NextAction::Retry {
                         return Err(self.unknown_outcome_rejection(call));
@@ -130,6 +131,7 @@
                         ),
                         Err(error) => {
                             self.record_failure(call, placement.key, &error);
+                            self.check_lost(call, placement.key, &error).await;
                             (Outcome::Unknown, None)
                         }
                     }
@@ -204,6 +206,7 @@
                     true => self.log_failure(call, key, &error),
                     false => self.record_failure(call, key, &error),
                 }
+                self.check_lost(call, key, &error).await;
                 return AttemptEnd::NoResponse(Outcome::Unknown);
             }
         };
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -59,14 +59,7 @@
 
     /// Keeps a connection for reuse while the backend keeps it open.
     pub fn put_idle(&self, upstream: Upstream, keep: KeepAlive) {
-        let lifetime = match keep {
-            KeepAlive::Close => return,
-            KeepAlive::Timeout(timeout) => timeout.saturating_sub(IDLE_TIMEOUT_MARGIN),
-            KeepAlive::Unspecified => UNADVERTISED_IDLE_LIFETIME,
-        };
-        if let Some(backend) = self.pool.0.borrow_mut().get_mut(&self.key) {
-            backend.idle.push((upstream, Instant::now() + lifetime));
-        }
+        self.pool.put_idle(self.key, upstream, keep);
     }
 }
 
@@ -80,6 +73,18 @@
         InFlightGuard { pool: self.clone(), key }
     }
 
+    /// Keeps a connection to a backend for reuse while the backend keeps it open.
+    pub fn put_idle(&self, key: FleetKey, upstream: Upstream, keep: KeepAlive) {
+        let lifetime = match keep {
+            KeepAlive::Close => return,
+            KeepAlive::Timeout(timeout) => timeout.saturating_sub(IDLE_TIMEOUT_MARGIN),
+            KeepAlive::Unspecified => UNADVERTISED_IDLE_LIFETIME,
+        };
+        if let Some(backend) = self.0.borrow_mut().get_mut(&key) {
+            backend.idle.push((upstream, Instant::now() + lifetime));
+        }
+    }
+
     /// Returns the number of this process's requests in flight at a backend, and the number of
     /// requests sent to the backend since `since_ms`.
     ///
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -10,7 +10,7 @@
 use currantlink_core::durations::Durations;
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
-use currantlink_core::ids::WorkspaceName;
+use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -96,6 +96,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Option<Bytes>,
     pub(crate) workspace: Option<WorkspaceName>,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) urgency: u8,
     /// Whether the caller sent the request again after a rejection or a lost response, and part of
     /// its deadline has already been used.
@@ -112,6 +113,12 @@
         self.table.pool(self.service_key)
     }
 
+    /// Returns the shared parts of the prompt as text for the log.
+    pub(crate) fn prompt_parts_text(&self) -> String {
+        let parts = self.metadata.shared_prompt_parts.iter();
+        parts.map(PromptPart::to_string).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the remaining time before the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -342,6 +349,14 @@
         let service = table.pool(service_key).name.clone();
         self.with_retry_share(service, |share| share.record_request(now_ms()));
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        let workspace = admitted.workspace.as_deref().map(WorkspaceName::from);
+        let fingerprint = Fingerprint::of(&[
+            workspace.as_ref().map_or("", WorkspaceName::as_str).as_bytes(),
+            parts.method.as_str().as_bytes(),
+            host.as_bytes(),
+            target.as_bytes(),
+            body.as_deref().unwrap_or_default(),
+        ]);
         Ok(Call {
             route_key: admitted.route,
             service_key,
@@ -353,7 +368,8 @@
             target,
             headers: parts.headers,
             body,
-            workspace: admitted.workspace.as_deref().map(WorkspaceName::from),
+            workspace,
+            fingerprint,
             urgency: urgency(admitted.priority, is_client_retry),
             is_client_retry,
             table,
@@ -437,8 +453,9 @@
         let snapshot = self.snapshot.load();
         let backend = snapshot.fleet.get(key).map_or("", |member| member.id.as_str());
         let after_ms = call.arrived_at.elapsed().as_millis() as u64;
-        log::info!(request = call.attempt_id.as_str(), backend, error:% = error, after_ms;
-            "attempt failed");
+        let prompt_parts = call.prompt_parts_text();
+        log::info!(request = call.attempt_id.as_str(), backend, error:% = error, after_ms,
+            fingerprint:% = call.fingerprint, prompt_parts; "attempt failed");
         metrics::counter!("currantlink_attempts_failed_total").increment(1);
     }
 }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -97,6 +97,7 @@
                 }
                 StreamRead::Broken(error) => {
                     self.gateway.record_failure(&self.call, key, &error);
+                    self.gateway.check_lost(&self.call, key, &error).await;
                     if !self.resume(Outcome::Unknown).await {
                         return self.truncate("broken");
                     }
