--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -22,6 +22,12 @@
 
 const READ_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
+/// Time from the start of a request that crashes its backend until the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+/// Time for which a crashed backend is down.
+const DOWN_TIME: Duration = Duration::from_millis(400);
+/// Interval between attempts to listen again.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Fault that is applied to one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,10 +77,21 @@
     pub urgency: Option<u64>,
     /// Value of the `last-event-id` header.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt.
+    pub prompt_parts: Option<String>,
     /// Request body.
     pub body: Vec<u8>,
 }
 
+/// What the requests have in common that crash a backend when it begins to run them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashTrigger {
+    /// A part of the prompt, by its id.
+    PromptPart(&'static str),
+    /// The whole body.
+    Body(&'static [u8]),
+}
+
 /// Backend server that records its requests. Clones share their state.
 #[derive(Clone)]
 pub struct Backend {
@@ -83,10 +100,13 @@
     events: u64,
     state: Arc<Mutex<State>>,
     released: watch::Sender<bool>,
+    crashes: watch::Sender<u32>,
+    restarts: watch::Sender<u32>,
 }
 
 #[derive(Default)]
 struct State {
+    crash_triggers: Vec<CrashTrigger>,
     faults: VecDeque<Fault>,
     runs: Vec<Run>,
     arrivals: u64,
@@ -107,6 +127,14 @@
     fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
+
+    fn has(&self, trigger: &CrashTrigger) -> bool {
+        let parts = || self.header(names::PROMPT_PARTS.as_str()).unwrap_or_default().split(',');
+        match trigger {
+            CrashTrigger::PromptPart(id) => parts().any(|part| part.split(':').next() == Some(id)),
+            CrashTrigger::Body(body) => self.body == *body,
+        }
+    }
 }
 
 impl Backend {
@@ -118,18 +146,14 @@
             events: 0,
             state: Arc::default(),
             released: watch::Sender::default(),
+            crashes: watch::Sender::default(),
+            restarts: watch::Sender::default(),
         }
     }
 
     /// Creates a rank of a model group whose streams have `events` events.
     pub fn model(id: &str, group: Lockstep, rank: usize, events: u64) -> Self {
-        Self {
-            id: id.to_owned(),
-            group: Some((group, rank)),
-            events,
-            state: Arc::default(),
-            released: watch::Sender::default(),
-        }
+        Self { group: Some((group, rank)), events, ..Self::plain(id) }
     }
 
     /// Listens on `address` and returns the bound address; port 0 selects a free port.
@@ -142,17 +166,81 @@
         let bound = listener.local_addr()?;
         let backend = self.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let backend = backend.clone();
-                tokio::spawn(async move {
-                    // A client that disconnects is not an error of the stand-in.
-                    let _ = backend.handle_connection(stream).await;
-                });
+            backend.accept_until_crash(listener).await;
+            loop {
+                tokio::time::sleep(DOWN_TIME).await;
+                let listener = loop {
+                    match TcpListener::bind(bound).await {
+                        Ok(listener) => break listener,
+                        Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
+                    }
+                };
+                backend.restarts.send_modify(|restarts| *restarts += 1);
+                backend.accept_until_crash(listener).await;
             }
         });
         Ok(bound)
     }
 
+    async fn accept_until_crash(&self, listener: TcpListener) {
+        let mut crashes = self.crashes.subscribe();
+        loop {
+            let stream = tokio::select! {
+                biased;
+                _ = crashes.changed() => return,
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => return,
+                },
+            };
+            let (backend, mut crashes) = (self.clone(), crashes.clone());
+            tokio::spawn(async move {
+                tokio::select! {
+                    // A client that disconnects is not an error of the stand-in.
+                    _ = backend.handle_connection(stream) => {}
+                    _ = crashes.changed() => {}
+                }
+            });
+        }
+    }
+
+    /// Crashes the backend's process: it ends all connections and is back with another id some time
+    /// later.
+    pub fn crash(&self) {
+        self.crashes.send_modify(|crashes| *crashes += 1);
+    }
+
+    /// Returns how many times the backend has crashed.
+    pub fn crashes(&self) -> u32 {
+        *self.crashes.borrow()
+    }
+
+    /// Returns a receiver of the number of restarts after crashes.
+    pub fn restarts(&self) -> watch::Receiver<u32> {
+        self.restarts.subscribe()
+    }
+
+    /// Makes all following requests with a trigger crash the backend.
+    pub fn crash_on(&self, trigger: CrashTrigger) {
+        self.state().crash_triggers.push(trigger);
+    }
+
+    /// Returns the id of the current process.
+    pub fn id(&self) -> String {
+        match *self.restarts.borrow() {
+            0 => self.id.clone(),
+            restarts => format!("{}-{restarts}", self.id),
+        }
+    }
+
+    async fn crash_if_triggered(&self, request: &IncomingRequest) {
+        if self.state().crash_triggers.iter().any(|trigger| request.has(trigger)) {
+            tokio::time::sleep(CRASH_DELAY).await;
+            self.crash();
+            std::future::pending().await
+        }
+    }
+
     /// Queues faults for the next requests, one fault per request.
     pub fn queue_faults(&self, faults: impl IntoIterator<Item = Fault>) {
         self.state().faults.extend(faults);
@@ -227,14 +315,10 @@
         };
         let rate = self.state().named_rate.clone();
         let rate_header = rate.as_deref().map(|rate| (names::RATE_LIMIT, rate));
-        if expected.is_some_and(|expected| expected != self.id) {
-            write_response(
-                stream,
-                "421 Misdirected Request",
-                &[(names::BACKEND_ID, &self.id)],
-                b"",
-            )
-            .await?;
+        let own_id = self.id();
+        if expected.is_some_and(|expected| expected != own_id) {
+            write_response(stream, "421 Misdirected Request", &[(names::BACKEND_ID, &own_id)], b"")
+                .await?;
             return Ok(true);
         }
         if fault == Fault::Refuse {
@@ -250,11 +334,14 @@
             return self.hang(stream).await;
         }
         self.record_run(request, &id);
-        let signature = format!("{}.{id}", self.id);
+        if self.group.is_none() {
+            self.crash_if_triggered(request).await;
+        }
+        let signature = format!("{own_id}.{id}");
         let signed_headers =
             [(names::ATTEMPT_ID, id.as_str()), (names::SIGNATURE, signature.as_str())];
         let signed_headers: Vec<_> = signed_headers.into_iter().chain(rate_header).collect();
-        let body = format!("{id} by {}", self.id);
+        let body = format!("{id} by {own_id}");
         match fault {
             Fault::LoseResponse => Ok(false),
             Fault::Hang => self.hang(stream).await,
@@ -295,6 +382,7 @@
             deadline_ms: number(names::DEADLINE_MS.as_str()),
             urgency: number(names::URGENCY.as_str()),
             last_event_id: number(names::LAST_EVENT_ID.as_str()),
+            prompt_parts: request.header(names::PROMPT_PARTS.as_str()).map(str::to_owned),
             body: request.body.clone(),
         });
     }
@@ -335,6 +423,7 @@
         let from = request.header(names::LAST_EVENT_ID.as_str()).and_then(|id| id.parse().ok());
         let head = response_head("200 OK", signed_headers, Some("Transfer-Encoding: chunked"));
         stream.write_all(head.as_bytes()).await?;
+        self.crash_if_triggered(request).await;
         self.state().active += 1;
         let done = async {
             for event in from.unwrap_or(0) + 1..=self.events {
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -214,7 +214,8 @@
         for index in 0..shape.plain_backends {
             let id = format!("plain-{index}");
             let backend = Backend::plain(&id);
-            deployment.register(&id, "plain", backend.serve(LOOPBACK).await?, "ready");
+            let address = backend.serve(LOOPBACK).await?;
+            deployment.keep_registered(&backend, "plain", address);
             deployment.plain_backends.push(backend);
         }
         for rank in 0..shape.ranks as usize {
@@ -233,7 +234,7 @@
         let id = format!("model-{rank}");
         let backend = Backend::model(&id, group, rank, events);
         let address = backend.serve(LOOPBACK).await?;
-        self.register(&id, "model", address, "ready");
+        self.keep_registered(&backend, "model", address);
         self.model_backends.push(backend);
         let name = format!("agent-{rank}");
         let settings =
@@ -284,11 +285,22 @@
 
     /// Writes the registration record of a backend, as the backend would.
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        let entry = json!({
-            "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
-            "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+        let record = backend_record(service, address, state, 1);
+        self.records.put(names::BACKENDS_TOPIC, id, &record);
+    }
+
+    /// Writes the registration record of a backend now and after each of its restarts.
+    fn keep_registered(&self, backend: &Backend, service: &'static str, address: SocketAddr) {
+        self.register(&backend.id(), service, address, "ready");
+        let (backend, records, mut restarts) =
+            (backend.clone(), self.records.clone(), backend.restarts());
+        tokio::spawn(async move {
+            while restarts.changed().await.is_ok() {
+                let born_ms = u64::from(*restarts.borrow()) + 1;
+                let record = backend_record(service, address, "ready", born_ms);
+                records.put(names::BACKENDS_TOPIC, &backend.id(), &record);
+            }
         });
-        self.records.put(names::BACKENDS_TOPIC, id, entry.to_string().as_bytes());
     }
 
     /// Writes a configuration with the given version and API keys, as an operator would.
@@ -316,6 +328,14 @@
     }
 }
 
+fn backend_record(service: &str, address: SocketAddr, state: &str, born_ms: u64) -> Vec<u8> {
+    let record = json!({
+        "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
+        "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": born_ms,
+    });
+    record.to_string().into_bytes()
+}
+
 /// Returns the configuration of a deployment as JSON.
 pub fn config(version: u64, keys: &[&str]) -> serde_json::Value {
     let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
@@ -362,6 +382,8 @@
     pub deadline_ms: u64,
     /// ID of the last event that the client received.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt, if any.
+    pub prompt_parts: Option<String>,
     /// Body.
     pub body: Bytes,
 }
@@ -376,6 +398,7 @@
             key: Some(KEY.into()),
             deadline_ms: DEADLINE_MS,
             last_event_id: None,
+            prompt_parts: None,
             body: if method == "GET" { Bytes::new() } else { Bytes::from_static(b"the body") },
         }
     }
@@ -467,6 +490,9 @@
         if let Some(id) = request.last_event_id {
             builder = builder.header(names::LAST_EVENT_ID, id);
         }
+        if let Some(parts) = &request.prompt_parts {
+            builder = builder.header(names::PROMPT_PARTS, parts);
+        }
         self.sender.ready().await?;
         let sent = self.sender.send_request(builder.body(Full::new(request.body.clone()))?).await;
         let (head, mut body) = sent?.into_parts();
