--- a/daemon/tests/crashing_parts.rs
+++ b/daemon/tests/crashing_parts.rs
@@ -5,7 +5,7 @@
 mod harness;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use currantlink_standins::backends::{Backend, CrashTrigger};
 use currantlink_standins::deployment::{
@@ -19,8 +19,6 @@
 const PAUSE: Duration = Duration::from_millis(300);
 /// Number of crashes that may precede the end of the requests with the part.
 const CRASHES: usize = 5;
-/// Time after the last of these crashes by which all gateways must know.
-const KNOWN_AFTER: Duration = Duration::from_secs(3);
 /// Number of requests that may reach a backend after that time.
 const LATE: usize = 3;
 /// Reason of the rejection, in the response and in the log.
@@ -67,10 +65,6 @@
     runs.filter(|run| has_part(&run.prompt_parts)).count()
 }
 
-fn crashes(deployment: &Deployment) -> usize {
-    deployment.model_backends.iter().map(|backend| backend.crashes() as usize).sum()
-}
-
 fn log(deployment: &Deployment, gateway: usize) -> String {
     std::fs::read_to_string(deployment.gateways[gateway].process.log_path()).unwrap()
 }
@@ -78,19 +72,12 @@
 /// Sends `count` requests with the part to the gateways in turn. Returns how many of them reached a
 /// backend although all gateways had to know of the part when they were sent.
 async fn send_crashing(deployment: &Deployment, count: usize) -> usize {
-    let (mut known_at, mut late) = (None, 0);
-    for index in 0..count {
-        let is_late = known_at.is_some_and(|at| Instant::now() >= at);
-        let before = reached(deployment);
+    let send = async |index: usize| {
         let address = deployment.gateways[index % GATEWAYS].callers;
         send(address, format!("bad-{index}"), PART).await;
-        late += if is_late { reached(deployment) - before } else { 0 };
-        if known_at.is_none() && crashes(deployment) >= CRASHES {
-            known_at = Some(Instant::now() + KNOWN_AFTER);
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-    late
+    };
+    let (backends, reached) = (&deployment.model_backends, || reached(deployment));
+    harness::count_late(backends, CRASHES, count, PAUSE, reached, send).await
 }
 
 #[tokio::test]
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 use std::path::Path;
+use std::time::{Duration, Instant};
 
+use currantlink_standins::backends::Backend;
 use currantlink_standins::deployment::{Deployment, IDEMPOTENT, Shape, wait_until};
 use tempfile::TempDir;
 
@@ -24,3 +26,39 @@
     wait_until(serves).await;
     (deployment, directory)
 }
+
+/// Time after the last of the crashes that all gateways may need, by which they must know the cause.
+#[allow(dead_code, reason = "not all tests crash backends")]
+pub const KNOWN_AFTER: Duration = Duration::from_secs(3);
+
+/// Returns how many times the backends have crashed.
+#[allow(dead_code, reason = "not all tests crash backends")]
+pub fn crashes(backends: &[Backend]) -> usize {
+    backends.iter().map(|backend| backend.crashes() as usize).sum()
+}
+
+/// Sends `count` requests that crash backends, with a pause after each. Returns how many times they
+/// reached a backend, by `reached`, although the backends had crashed `needed` times and all gateways had
+/// had time to learn of it.
+#[allow(dead_code, reason = "not all tests crash backends")]
+pub async fn count_late(
+    backends: &[Backend],
+    needed: usize,
+    count: usize,
+    pause: Duration,
+    reached: impl Fn() -> usize,
+    send: impl AsyncFn(usize),
+) -> usize {
+    let (mut known_at, mut late) = (None, 0);
+    for index in 0..count {
+        let is_late = known_at.is_some_and(|at| Instant::now() >= at);
+        let before = reached();
+        send(index).await;
+        late += if is_late { reached() - before } else { 0 };
+        if known_at.is_none() && crashes(backends) >= needed {
+            known_at = Some(Instant::now() + KNOWN_AFTER);
+        }
+        tokio::time::sleep(pause).await;
+    }
+    late
+}
