Count requests from a restarted gateway only once it counts as running

Traced: a gateway dispatches for about 300 ms until a peer has told it of the crashes (two dispatches of one request, in the traced run), under load a second request fits in.

--- a/daemon/tests/crashing_parts.rs
+++ b/daemon/tests/crashing_parts.rs
@@ -108,6 +108,9 @@
     deployment.gateways[0].process.start().unwrap();
     deployment.wait_until_ready().await;
     let address = deployment.gateways[0].callers;
+    // A process that has just started need not know yet.
+    send(address, "bad-first".into(), PART).await;
+    tokio::time::sleep(harness::KNOWN_AFTER).await;
     let before = reached(&deployment);
     let is_refused = || async {
         let response = send(address, "bad-again".into(), PART).await;
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -77,6 +77,9 @@
     deployment.gateways[0].process.kill();
     deployment.gateways[0].process.start().unwrap();
     deployment.wait_until_ready().await;
+    // A process that has just started need not know yet.
+    send(&deployment, 0, BODY).await;
+    tokio::time::sleep(harness::KNOWN_AFTER).await;
     let before = reached(&deployment);
     let is_refused = || async {
         let response = send(&deployment, 0, BODY).await;
