Refuse a request that crashes backends each time it comes, at all gateways

Cause: a client's attempt has an id of its own, so a request that had crashed backends started anew each time, with all its attempts, at whatever gateway it came to. Ruled out: the check by prompt part, as the request has none in common with others; and evidence of one gateway alone, which sees one attempt in five.

The evidence of core/suspects now has a second kind of key, the fingerprint of workspace, method, host, target and body. A fingerprint is guilty after crashes under three client attempts, none of them answered, if requests without it seldom end so. It travels with the crashes and is refused like a part.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -70,7 +70,8 @@
                 "not run; the group of its backends stood still or was formed again".to_owned()
             }
             "not-run: crashes-backends" => format!(
-                "not run; requests with a part of its prompt crash backends ({})",
+                "not run; requests like it crash backends (fingerprint {}, prompt parts {})",
+                value(last("requests like this one crash backends"), "fingerprint"),
                 value(last("requests like this one crash backends"), "prompt_parts")
             ),
             "not-run: no-backend" => "not run; no backend of its service was listed".to_owned(),
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -3,7 +3,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use derive_more::{Display, Error, From};
+use derive_more::{Display, Error, From, Into};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Length of a request id in bytes.
@@ -91,7 +91,7 @@
 }
 
 /// Part of a prompt, which several requests may share.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From, Into)]
 #[display("{_0:x}")]
 pub struct PromptPart(pub u64);
 
@@ -109,7 +109,7 @@
 }
 
 /// Hash of a request's content. Equal requests of a workspace have the same fingerprint.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From, Into)]
 #[display("{_0:016x}")]
 pub struct Fingerprint(pub u64);
 
--- a/core/src/suspects.rs
+++ b/core/src/suspects.rs
@@ -1,4 +1,5 @@
-//! Finds out which keys, such as parts of prompts, the requests that crash backends have in common.
+//! Finds out which keys the requests that crash backends have in common: parts of their prompts, or the
+//! fingerprint of one request that comes again.
 //!
 //! A crash makes the keys of all requests that were in flight at the backend suspects. A key is
 //! acquitted of the crashes known so far by a response that is completed with it, and of the crashes
@@ -29,8 +30,6 @@
 const MIN_REFUSAL_MS: i64 = 1_000;
 /// Length of an episode: crashes within it may have a common cause, such as a loss of power.
 const EPISODE_MS: i64 = 100;
-/// Time from a crash until all processes have reported their requests.
-const SETTLE_MS: i64 = 600;
 /// Time since the first crash with a key in which sound requests with it would have been answered.
 const MIN_AGE_MS: i64 = 2_000;
 /// Time for which requests are in flight.
@@ -39,10 +38,9 @@
 const DOWN_MS: i64 = 4_000;
 /// Time for which crashes count that a key does not explain.
 const HISTORY_MS: i64 = 300_000;
-/// Maximum share of the recent requests that may be refused for one key.
-const MAX_REFUSED_SHARE: f64 = 0.2;
-/// Number of recent requests that are known.
+/// Number of recent requests that are known, and of recent ends of requests.
 const MAX_ARRIVALS: usize = 128;
+const MAX_ENDS: usize = 64;
 /// Number of requests without a key that are assumed besides them.
 const PRIOR_ARRIVALS: f64 = 8.0;
 /// Maximum number of keys whose completed responses are known, and the time for which they are known at
@@ -70,6 +68,9 @@
 /// What makes a key guilty.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
+    /// Time from a crash until it is evidence: until other processes have reported requests that may
+    /// explain it as well.
+    pub settle_ms: u64,
     /// Minimum number of crashes.
     pub min_crashes: usize,
     /// Minimum number of different requests that were in flight at them. It tells a key that several
@@ -85,16 +86,38 @@
     pub min_sole_presence: f64,
     /// The same minimum if another key was in flight at the same crashes.
     pub min_shared_presence: f64,
+    /// Minimum of the negative logarithm of the probability that as many requests without the key end
+    /// in crashes.
+    pub min_mortality: f64,
+    /// Maximum share of the recent requests that may be refused for one key.
+    pub max_refused_share: f64,
 }
 
 /// Policy for parts of prompts, which sound requests share.
 pub const PROMPT_PARTS: Policy = Policy {
+    settle_ms: 600,
     min_crashes: 3,
     min_requests: 3,
     min_exposure: 2.5,
     min_presence: 6.0,
     min_sole_presence: 9.0,
     min_shared_presence: 12.0,
+    min_mortality: 0.0,
+    max_refused_share: 0.2,
+};
+
+/// Policy for the fingerprints of requests. The requests with a key are attempts of the same request,
+/// which may be much of a service's traffic.
+pub const REPEATED_REQUESTS: Policy = Policy {
+    settle_ms: 200,
+    min_crashes: 3,
+    min_requests: 3,
+    min_exposure: 1.5,
+    min_presence: 3.0,
+    min_sole_presence: 4.0,
+    min_shared_presence: 12.0,
+    min_mortality: 2.5,
+    max_refused_share: 1.0,
 };
 
 /// What the evidence says of a key.
@@ -108,8 +131,8 @@
     Guilty,
 }
 
-/// What may be done with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What may be done with a request, the strictest last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// The request may be dispatched.
     Unsuspected,
@@ -129,6 +152,8 @@
     pub key: K,
     /// Share of the recent requests that have the key.
     pub share: f64,
+    /// Share of the recent requests without the key that ended in a crash.
+    pub mortality: f64,
     /// Requests with the key.
     pub requests: Vec<Fingerprint>,
 }
@@ -163,6 +188,7 @@
 #[derive(Clone, Debug, Default)]
 struct Sighting {
     share: f64,
+    mortality: f64,
     requests: IndexSet<Fingerprint>,
 }
 
@@ -200,6 +226,8 @@
     /// that one of the requests in flight has it.
     share_sum: f64,
     presence_sum: f64,
+    /// Sum over the crashes of the share of the requests without the key that ended in crashes.
+    mortality_sum: f64,
     /// Negative logarithms of probabilities; see [`Policy`].
     exposure: f64,
     presence: f64,
@@ -210,6 +238,13 @@
         self.share_sum / self.crashes.len() as f64
     }
 
+    /// Returns the negative logarithm of the probability that as many requests without the key end in
+    /// crashes.
+    fn mortality(&self) -> f64 {
+        let mortality = (self.mortality_sum / self.crashes.len() as f64).clamp(0.001, 1.0);
+        -mortality.ln() * self.requests.len() as f64
+    }
+
     /// Sets `presence`, given the number of episodes in which the key can have been in flight.
     fn set_presence(&mut self, episodes: f64) {
         let expected = (self.presence_sum / self.crashes.len() as f64).clamp(0.001, 0.999);
@@ -280,6 +315,8 @@
     answered_at_ms: IndexMap<K, i64>,
     /// Keys of the last requests.
     arrivals: VecDeque<Vec<K>>,
+    /// Keys of the last requests that were answered or crashed a backend, and which of both.
+    ends: VecDeque<(Vec<K>, bool)>,
     /// Acquittals that were found here and that no other process is known to know.
     unsent: IndexSet<(CrashId, K)>,
 }
@@ -298,6 +335,7 @@
             probed_at_ms: IndexMap::new(),
             answered_at_ms: IndexMap::new(),
             arrivals: VecDeque::new(),
+            ends: VecDeque::new(),
             unsent: IndexSet::new(),
         }
     }
@@ -311,8 +349,15 @@
         keys: impl IntoIterator<Item = K>,
         now_ms: u64,
     ) {
-        let suspect = |key| Suspect { key, share: self.share(key), requests: vec![request] };
-        let suspects = keys.into_iter().map(suspect).collect();
+        let keys: Vec<K> = keys.into_iter().collect();
+        self.record_end(&keys, true);
+        let suspect = |&key: &K| Suspect {
+            key,
+            share: self.share(key),
+            mortality: self.mortality(key),
+            requests: vec![request],
+        };
+        let suspects = keys.iter().map(suspect).collect();
         let report = CrashReport { id, age_ms: 0, backends, suspects, acquitted: Vec::new() };
         self.merge([report], now_ms);
     }
@@ -341,7 +386,7 @@
         for &key in &report.acquitted {
             self.unsent.swap_remove(&(report.id, key));
         }
-        for Suspect { key, share, requests } in report.suspects {
+        for Suspect { key, share, mortality, requests } in report.suspects {
             if self.answered_at_ms.get(&key).is_some_and(|&answered| answered > crash.at_ms)
                 && crash.acquitted.insert(key)
             {
@@ -350,6 +395,7 @@
             if crash.suspects.len() < MAX_SUSPECTS || crash.suspects.contains_key(&key) {
                 let known = crash.suspects.entry(key).or_default();
                 known.share = known.share.max(share);
+                known.mortality = known.mortality.max(mortality);
                 let room = MAX_REQUESTS.saturating_sub(known.requests.len());
                 known.requests.extend(requests.into_iter().take(room));
             }
@@ -359,19 +405,29 @@
         self.is_changed = true;
     }
 
-    /// Records that a response to a request with the key was completed.
-    pub fn record_answer(&mut self, key: K, now_ms: u64) {
-        let is_known = self.answered_at_ms.contains_key(&key);
-        if is_known || self.answered_at_ms.len() < MAX_ANSWERED {
-            self.answered_at_ms.insert(key, now_ms as i64);
+    /// Records that a response to a request with some keys was completed.
+    pub fn record_answer(&mut self, keys: &[K], now_ms: u64) {
+        self.record_end(keys, false);
+        for &key in keys {
+            let is_known = self.answered_at_ms.contains_key(&key);
+            if is_known || self.answered_at_ms.len() < MAX_ANSWERED {
+                self.answered_at_ms.insert(key, now_ms as i64);
+            }
+            self.acquit(key, i64::MIN);
         }
-        self.acquit(key, i64::MIN);
     }
 
-    /// Records that a backend had begun a response to a request with the key that was sent at
+    /// Records that a backend had begun a response to a request with some keys that was sent at
     /// `sent_at_ms`, and that the backend lives on.
-    pub fn record_begun(&mut self, key: K, sent_at_ms: u64) {
-        self.acquit(key, sent_at_ms as i64);
+    pub fn record_begun(&mut self, keys: &[K], sent_at_ms: u64) {
+        keys.iter().for_each(|&key| self.acquit(key, sent_at_ms as i64));
+    }
+
+    fn record_end(&mut self, keys: &[K], has_crashed: bool) {
+        if self.ends.len() == MAX_ENDS {
+            self.ends.pop_front();
+        }
+        self.ends.push_back((keys.to_vec(), has_crashed));
     }
 
     /// Returns whether acquittals were found here that no other process is known to know.
@@ -462,7 +518,7 @@
             let is_older = |crash: &&Crash<K>| crash.at_ms + ms <= now_ms as i64;
             self.crashes.values().filter(is_older).count()
         };
-        let (settled, mature) = (older_than(SETTLE_MS), older_than(MIN_AGE_MS));
+        let (settled, mature) = (older_than(self.policy.settle_ms as i64), older_than(MIN_AGE_MS));
         if (settled, mature) == (self.settled, self.mature) && !self.is_changed {
             return Vec::new();
         }
@@ -475,6 +531,7 @@
         let suspect = |(key, sighting): (K, &Sighting)| Suspect {
             key,
             share: sighting.share,
+            mortality: sighting.mortality,
             requests: sighting.requests.iter().copied().collect(),
         };
         let suspects = move |crash: &Crash<K>| crash.live().map(suspect).collect();
@@ -496,6 +553,13 @@
         (with_key.saturating_sub(1) as f64 + 0.5) / (self.arrivals.len() as f64 + PRIOR_ARRIVALS)
     }
 
+    /// Returns the share of the recent requests without a key that ended in a crash.
+    fn mortality(&self, key: K) -> f64 {
+        let others = || self.ends.iter().filter(|(keys, _)| !keys.contains(&key));
+        let crashed = others().filter(|(_, has_crashed)| *has_crashed).count();
+        (crashed as f64 + 0.5) / (others().count() as f64 + 2.0)
+    }
+
     /// Returns when a request with the key last crashed a backend or was probed.
     fn last_tried_ms(&self, key: K) -> i64 {
         let with_key = self.crashes.values().filter(|crash| crash.suspects.contains_key(&key));
@@ -526,7 +590,7 @@
             let cases = self.cases(&explained);
             let is_guilty = |(key, case): &(&K, &Case)| {
                 self.suffices(case, 0)
-                    && case.mean_share() <= MAX_REFUSED_SHARE
+                    && case.mean_share() <= self.policy.max_refused_share
                     && case.first_at_ms + MIN_AGE_MS <= self.updated_at_ms
                     && self.is_only_explanation(&cases, **key, case)
             };
@@ -566,6 +630,7 @@
                     case.crashes.insert(*id);
                     case.requests.extend(&sighting.requests);
                     case.share_sum += sighting.share;
+                    case.mortality_sum += sighting.mortality;
                     case.presence_sum += 1.0 - (1.0 - sighting.share).powf(requests);
                 }
             }
@@ -591,6 +656,7 @@
         let known = 1.0 - missing as f64 / min_crashes as f64;
         case.crashes.len() + missing >= min_crashes
             && case.requests.len() + missing >= min_requests
+            && case.mortality() >= self.policy.min_mortality * known
             && (case.exposure >= min_exposure * known && case.presence >= min_presence * known
                 || case.presence >= min_sole_presence)
     }
--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -1,10 +1,11 @@
-//! Prompt parts that crash backends: evidence over many gateways, against sound requests.
+//! Prompt parts and requests that crash backends: evidence over many gateways, against sound requests.
 
 #![allow(clippy::unwrap_used)]
 
 use currantlink_core::ids::{Fingerprint, PromptPart};
 use currantlink_core::suspects::{
-    CrashId, CrashReport, PROMPT_PARTS, Standing, Suspect, Suspects, Verdict, prober,
+    CrashId, CrashReport, PROMPT_PARTS, Policy, REPEATED_REQUESTS, Standing, Suspect, Suspects,
+    Verdict, prober,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -25,13 +26,18 @@
 const FANOUT: usize = 3;
 const ACQUITTAL_JITTER_MS: u64 = 400;
 const KNOWN_AFTER_MS: u64 = 3_000;
-const CRASHES: usize = 5;
 const LATE: usize = 3;
 const FIRST_CRASHING_PART: u64 = 1_000_000;
 
 /// What happens on a simulated day.
 #[derive(Clone, Copy)]
 struct Day {
+    policy: Policy,
+    /// Number of crashes that may precede the end of the crashing requests.
+    crashes: usize,
+    /// Time from the dispatch of a request to its first token, and to the end of its answer.
+    first_token_ms: (u64, u64),
+    answer_ms: (u64, u64),
     gateways: usize,
     backends: usize,
     /// Whether the backends form one group, which stands still after each crash.
@@ -49,6 +55,10 @@
 }
 
 const CALM: Day = Day {
+    policy: PROMPT_PARTS,
+    crashes: 5,
+    first_token_ms: (80, 250),
+    answer_ms: (400, 1_000),
     gateways: 5,
     backends: 12,
     is_group: false,
@@ -60,6 +70,19 @@
     mass_crash_every_ms: None,
 };
 
+/// A request comes again every second or two, beside sound ones of which some come again, too. The keys
+/// are fingerprints of requests.
+const REPEATED: Day = Day {
+    policy: REPEATED_REQUESTS,
+    crashes: 3,
+    first_token_ms: (1, 20),
+    answer_ms: (20, 200),
+    backends: 3,
+    crashing_per_s: 0.7,
+    sound_per_s: 8.0,
+    ..CALM
+};
+
 struct Gateway {
     suspects: Suspects<PromptPart>,
     inbox: Vec<(u64, Vec<CrashReport<PromptPart>>)>,
@@ -117,7 +140,7 @@
 impl Simulation {
     fn new(day: Day, seed: u64) -> Self {
         let gateway = |_| Gateway {
-            suspects: Suspects::new(PROMPT_PARTS),
+            suspects: Suspects::new(day.policy),
             inbox: Vec::new(),
             crash_seen_at_ms: None,
             is_unsent: false,
@@ -154,7 +177,10 @@
     fn new_request(&mut self, crashes: bool) -> Request {
         let rng = &mut self.rng;
         let route = rng.random_range(0..3);
-        let mut parts = vec![PromptPart(route), PromptPart(10 + rng.random_range(0..10))];
+        let mut parts = match self.day.policy.max_refused_share < 1.0 {
+            true => vec![PromptPart(route), PromptPart(10 + rng.random_range(0..10))],
+            false => Vec::new(),
+        };
         parts.push(match crashes && self.day.crashing_parts > 0 {
             true => PromptPart(FIRST_CRASHING_PART + rng.random_range(0..self.day.crashing_parts)),
             false => PromptPart(1_000 + rng.random_range(0..200)),
@@ -199,14 +225,19 @@
             _ => {}
         }
         if let Some(part) = crashing_part {
-            let fifth = self.crash_times.get(&part).and_then(|times| times.get(CRASHES - 1));
-            let is_late = fifth.is_some_and(|at_ms| now_ms > at_ms + KNOWN_AFTER_MS);
+            let last =
+                self.crash_times.get(&part).and_then(|times| times.get(self.day.crashes - 1));
+            let is_late = last.is_some_and(|at_ms| now_ms > at_ms + KNOWN_AFTER_MS);
             self.outcome.late += usize::from(is_late);
         }
         self.outcome.sound_dispatched += usize::from(crashing_part.is_none() && is_first);
         request.sent_at_ms = now_ms;
-        request.first_event_ms = now_ms + self.rng.random_range(80..250);
-        request.ends_ms = request.first_event_ms + self.rng.random_range(400..1_000);
+        let (first, answer) = (self.day.first_token_ms, self.day.answer_ms);
+        request.first_event_ms = now_ms + self.rng.random_range(first.0..first.1);
+        request.ends_ms = match crashing_part {
+            Some(_) => u64::MAX,
+            None => request.first_event_ms + self.rng.random_range(answer.0..answer.1),
+        };
         let backend = up[self.rng.random_range(0..up.len())];
         self.backends[backend].running.push(request);
     }
@@ -230,9 +261,7 @@
                     let is_over = |request: &mut Request| request.ends_ms <= now_ms;
                     for request in backend.running.extract_if(.., is_over) {
                         let gateway = &mut self.gateways[request.gateway];
-                        for &part in &request.parts {
-                            gateway.suspects.record_answer(part, now_ms);
-                        }
+                        gateway.suspects.record_answer(&request.parts, now_ms);
                     }
                 }
                 Some(at_ms) if at_ms + STALL_MS <= now_ms => self.cut_off(index, at_ms),
@@ -248,9 +277,7 @@
         for request in std::mem::take(&mut backend.running) {
             if request.first_event_ms + BEGUN_MS <= stalled_at_ms {
                 let gateway = &mut self.gateways[request.gateway];
-                for &part in &request.parts {
-                    gateway.suspects.record_begun(part, request.sent_at_ms);
-                }
+                gateway.suspects.record_begun(&request.parts, request.sent_at_ms);
             }
         }
     }
@@ -288,11 +315,14 @@
         };
         if now_ms.is_multiple_of(every_ms) {
             let share = self.rng.random_range(0.2..1.0);
-            for index in 0..self.backends.len() {
-                if self.rng.random_bool(share) && self.backends[index].down_until_ms <= now_ms {
-                    self.crash(index, now_ms);
-                }
+            let is_up = |index: &usize| self.backends[*index].down_until_ms <= now_ms;
+            let up: Vec<usize> = (0..self.backends.len()).filter(is_up).collect();
+            let crashed: Vec<usize> =
+                up.into_iter().filter(|_| self.rng.random_bool(share)).collect();
+            for &index in &crashed {
+                self.backends[index].down_until_ms = now_ms + DOWN_MS;
             }
+            crashed.into_iter().for_each(|index| self.crash(index, now_ms));
         }
     }
 
@@ -397,6 +427,36 @@
     check(Day { crashing_parts: 2, crashing_per_s: 1.0, is_group: true, ..CALM }, 10);
 }
 
+#[test]
+fn repeated_requests() {
+    check(REPEATED, 20);
+    check(Day { crashing_per_s: 0.25, ..REPEATED }, 20);
+    check(Day { backends: 12, sound_per_s: 40.0, ..REPEATED }, 10);
+    check(Day { loss: 0.5, is_one_sided: true, ..REPEATED }, 10);
+    check(Day { crashing_parts: 2, ..REPEATED }, 10);
+    let day = Day { gateways: 360, backends: 60, sound_per_s: 400.0, ..REPEATED };
+    check(day, 1);
+}
+
+#[test]
+fn frequent_repeats() {
+    check(Day { crashing_per_s: 3.0, ..REPEATED }, 20);
+}
+
+#[test]
+fn repeated_sound() {
+    let day = Day { crashing_parts: 0, crashing_per_s: 0.0, ..REPEATED };
+    check(Day { mass_crash_every_ms: Some(9_000), ..day }, 20);
+    check(Day { mass_crash_every_ms: Some(9_000), sound_per_s: 100.0, ..day }, 20);
+    check(Day { mass_crash_every_ms: Some(4_000), backends: 12, ..day }, 20);
+}
+
+#[test]
+fn frequent_waves() {
+    let day = Day { crashing_parts: 0, crashing_per_s: 0.0, sound_per_s: 100.0, ..REPEATED };
+    check(Day { mass_crash_every_ms: Some(2_000), ..day }, 20);
+}
+
 #[test]
 fn mass_failures() {
     let day = Day { crashing_parts: 0, crashing_per_s: 0.0, ..CALM };
@@ -409,7 +469,7 @@
 
 fn report(id: u64, age_ms: u64, requests: &[u64]) -> CrashReport<PromptPart> {
     let requests = requests.iter().copied().map(Fingerprint).collect();
-    let suspects = vec![Suspect { key: PromptPart(1), share: 0.01, requests }];
+    let suspects = vec![Suspect { key: PromptPart(1), share: 0.01, mortality: 0.1, requests }];
     CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
 }
 
@@ -435,7 +495,7 @@
     assert!(matches!(judge(false, late_ms), Verdict::Refused { .. }));
     assert_eq!(judge(true, late_ms), Verdict::Suspected);
     assert!(matches!(judge(true, late_ms), Verdict::Refused { .. }), "one probe at a time");
-    suspects.record_answer(PromptPart(1), late_ms);
+    suspects.record_answer(&[PromptPart(1)], late_ms);
     suspects.update(late_ms);
     assert_eq!(suspects.judge([PromptPart(1)], |_| false, late_ms), Verdict::Unsuspected);
     let gateways: Vec<String> = (0..40).map(|index| format!("gateway-{index}")).collect();
--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -1,5 +1,7 @@
 //! Crashes of backends and their suspects, shared by the traffic thread and the control thread.
 
+use std::fmt::Display;
+use std::hash::Hash;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use currantlink_core::fleet::Member;
@@ -18,10 +20,11 @@
 /// Time after a crash seen here within which all gateways are told repeatedly, since messages may be
 /// lost.
 const PUSH_MS: u64 = 2_000;
-
 /// Maximum random delay of messages about acquittals. Other gateways that find the same ones need not
 /// send them then.
 const ACQUITTAL_JITTER_MS: u64 = 400;
+const PROMPT_PART: &str = "prompt part";
+const REQUEST: &str = "request";
 
 /// Crashes known here or from other gateways, by service.
 pub struct CrashLedger(Mutex<Ledger>);
@@ -29,13 +32,31 @@
 struct Ledger {
     own_name: String,
     gateways: Vec<String>,
-    services: IndexMap<String, Suspects<PromptPart>>,
+    services: IndexMap<String, ServiceSuspects>,
     /// Time of the last crash that was seen here.
     crash_seen_at_ms: Option<u64>,
     is_unsent: bool,
     acquittals_due_ms: Option<u64>,
 }
 
+struct ServiceSuspects {
+    parts: Suspects<PromptPart>,
+    requests: Suspects<Fingerprint>,
+}
+
+/// What a request may have in common with requests that crash backends.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestKeys<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Shared parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Hash of the id of the client's attempt.
+    pub attempt: Fingerprint,
+}
+
 /// Which gateways are told of the crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
@@ -62,83 +83,85 @@
     pub fn update(&self, gateways: Option<&[String]>) {
         let mut ledger = self.lock();
         ledger.gateways = gateways.unwrap_or_default().to_vec();
-        for (service, suspects) in &mut ledger.services {
-            log_changes(service, &suspects.update(now_ms()), suspects);
+        for (service, ServiceSuspects { parts, requests }) in &mut ledger.services {
+            log_changes(service, PROMPT_PART, &parts.update(now_ms()), parts);
+            log_changes(service, REQUEST, &requests.update(now_ms()), requests);
         }
     }
 
-    /// Records the first attempt of a client's request with these prompt parts.
-    pub fn record_arrival(&self, service: &str, parts: &[PromptPart]) {
-        self.lock().suspects(service).record_arrival(parts.iter().copied());
+    /// Records the first attempt of a client's request.
+    pub fn record_arrival(&self, request: RequestKeys<'_>) {
+        let mut ledger = self.lock();
+        let suspects = ledger.service(request.service);
+        suspects.parts.record_arrival(request.parts.iter().copied());
+        suspects.requests.record_arrival([request.fingerprint]);
     }
 
-    /// Decides on a request with these prompt parts.
-    pub fn judge(&self, service: &str, parts: &[PromptPart]) -> Verdict {
+    /// Decides on a request.
+    pub fn judge(&self, request: RequestKeys<'_>) -> Verdict {
         let mut ledger = self.lock();
         let Ledger { own_name, gateways, services, .. } = &mut *ledger;
-        let Some(suspects) = services.get_mut(service) else {
+        let Some(ServiceSuspects { parts, requests }) = services.get_mut(request.service) else {
             return Verdict::Unsuspected;
         };
-        let may_probe =
-            |part: PromptPart| suspects::prober(part.0, gateways) == Some(own_name.as_str());
-        suspects.judge(parts.iter().copied(), may_probe, now_ms())
+        let may_probe = |key| suspects::prober(key, gateways) == Some(own_name.as_str());
+        let now = now_ms();
+        let by_parts = parts.judge(request.parts.iter().copied(), |part| may_probe(part.0), now);
+        let by_request = requests.judge([request.fingerprint], |hash| may_probe(hash.0), now);
+        by_parts.max(by_request)
     }
 
     /// Records that one of `backends` backends crashed while it had a request.
-    pub fn record_crash(
-        &self,
-        backend: &Member,
-        backends: u32,
-        request: Fingerprint,
-        parts: &[PromptPart],
-    ) {
+    pub fn record_crash(&self, backend: &Member, backends: u32, request: RequestKeys<'_>) {
         let id = CrashId::of(&backend.id, backend.announcement.started_at_ms);
+        let RequestKeys { service, parts, fingerprint, attempt } = request;
         let mut ledger = self.lock();
-        let suspects = ledger.suspects(&backend.announcement.service);
-        suspects.record_crash(id, backends, request, parts.iter().copied(), now_ms());
-        ledger.crash_seen_at_ms = Some(now_ms());
+        let suspects = ledger.service(service);
+        let now = now_ms();
+        suspects.parts.record_crash(id, backends, fingerprint, parts.iter().copied(), now);
+        suspects.requests.record_crash(id, backends, attempt, [fingerprint], now);
+        ledger.crash_seen_at_ms = Some(now);
         ledger.is_unsent = true;
     }
 
-    /// Returns whether one of the parts is a suspect of a crash.
-    pub fn is_suspect(&self, service: &str, parts: &[PromptPart]) -> bool {
+    /// Returns whether something of the request is a suspect of a crash.
+    pub fn is_suspect(&self, request: RequestKeys<'_>) -> bool {
         let ledger = self.lock();
-        let is_suspect = |suspects: &Suspects<_>| parts.iter().any(|&p| suspects.is_suspect(p));
-        ledger.services.get(service).is_some_and(is_suspect)
+        ledger.services.get(request.service).is_some_and(|suspects| {
+            request.parts.iter().any(|&part| suspects.parts.is_suspect(part))
+                || suspects.requests.is_suspect(request.fingerprint)
+        })
     }
 
-    /// Records that a response to a request with these prompt parts was completed.
-    pub fn record_answer(&self, service: &str, parts: &[PromptPart]) {
+    /// Records that a response to a request was completed.
+    pub fn record_answer(&self, request: RequestKeys<'_>) {
         let mut ledger = self.lock();
-        let suspects = ledger.suspects(service);
-        parts.iter().for_each(|&part| suspects.record_answer(part, now_ms()));
+        let suspects = ledger.service(request.service);
+        suspects.parts.record_answer(request.parts, now_ms());
+        suspects.requests.record_answer(&[request.fingerprint], now_ms());
     }
 
-    /// Records that a backend had begun a response to a request with these prompt parts that was sent
-    /// at `sent_at_ms`, and that the backend lives on.
-    pub fn record_begun(&self, service: &str, parts: &[PromptPart], sent_at_ms: u64) {
+    /// Records that a backend had begun a response to a request that was sent at `sent_at_ms`, and that
+    /// the backend lives on.
+    pub fn record_begun(&self, request: RequestKeys<'_>, sent_at_ms: u64) {
         let mut ledger = self.lock();
-        let suspects = ledger.suspects(service);
-        parts.iter().for_each(|&part| suspects.record_begun(part, sent_at_ms));
+        let suspects = ledger.service(request.service);
+        suspects.parts.record_begun(request.parts, sent_at_ms);
+        suspects.requests.record_begun(&[request.fingerprint], sent_at_ms);
     }
 
     /// Records what another gateway knows of crashes.
     pub fn learn(&self, crashes: Vec<peers::Crash>) {
         let mut ledger = self.lock();
+        let now = now_ms();
         for crash in crashes {
-            let suspect = |suspect: peers::Suspect| Suspect {
-                key: PromptPart(suspect.key),
-                share: suspect.share,
-                requests: suspect.requests.into_iter().map(Fingerprint).collect(),
-            };
-            let report = CrashReport {
-                id: CrashId(crash.id),
-                age_ms: crash.age_ms,
-                backends: crash.backends,
-                suspects: crash.prompt_parts.into_iter().map(suspect).collect(),
-                acquitted: crash.acquitted_prompt_parts.into_iter().map(PromptPart).collect(),
-            };
-            ledger.suspects(&crash.service).merge([report], now_ms());
+            let peers::Crash { service, id, age_ms, backends, .. } = crash;
+            let suspects = ledger.service(&service);
+            let empty = (CrashId(id), age_ms, backends);
+            let (keys, acquitted) = (crash.prompt_parts, crash.acquitted_prompt_parts);
+            suspects.parts.merge([crash_report(empty, keys, acquitted)], now);
+            let (keys, acquitted) = (crash.requests, crash.acquitted_requests);
+            suspects.requests.merge([crash_report(empty, keys, acquitted)], now);
         }
     }
 
@@ -148,8 +171,8 @@
         let mut ledger = self.lock();
         let now = now_ms();
         let is_recent = ledger.crash_seen_at_ms.is_some_and(|at_ms| now < at_ms + PUSH_MS);
-        let is_known = ledger.services.values().any(|s| s.reports(now).next().is_some());
-        ledger.acquittals_due_ms = match ledger.services.values().any(Suspects::has_unsent) {
+        let is_known = ledger.services.values().any(|s| s.has_reports(now));
+        ledger.acquittals_due_ms = match ledger.services.values().any(ServiceSuspects::has_unsent) {
             true => ledger.acquittals_due_ms.or(Some(now + random_range(0..ACQUITTAL_JITTER_MS))),
             false => None,
         };
@@ -157,7 +180,7 @@
         let is_unsent = std::mem::take(&mut ledger.is_unsent) || is_due;
         match is_known {
             true if is_unsent || is_interval && is_recent => {
-                ledger.services.values_mut().for_each(Suspects::record_sent);
+                ledger.services.values_mut().for_each(ServiceSuspects::record_sent);
                 Some(Audience::All)
             }
             true if is_interval => Some(Audience::Some),
@@ -168,20 +191,22 @@
     /// Returns what other gateways are told.
     pub fn announced(&self) -> Vec<peers::Crash> {
         let ledger = self.lock();
-        let crashes = ledger.services.iter().flat_map(|(service, suspects)| {
-            suspects.reports(now_ms()).map(|report| crash_message(service, report))
-        });
+        let now = now_ms();
+        let crashes = ledger.services.iter().flat_map(|(name, s)| s.messages(name, now));
         let mut left = MAX_ANNOUNCED;
         let fits = |crash: &peers::Crash| {
-            let entries = 1 + crash.prompt_parts.len() + crash.acquitted_prompt_parts.len();
-            left.checked_sub(entries).inspect(|&rest| left = rest).is_some()
+            let suspects = crash.prompt_parts.len() + crash.requests.len();
+            let acquitted = crash.acquitted_prompt_parts.len() + crash.acquitted_requests.len();
+            left.checked_sub(1 + suspects + acquitted).inspect(|&rest| left = rest).is_some()
         };
         crashes.take_while(fits).collect()
     }
 
-    /// Returns the number of prompt parts whose requests are refused.
-    pub fn refused_count(&self) -> usize {
-        self.lock().services.values().map(Suspects::guilty_count).sum()
+    /// Returns the number of prompt parts and of requests that are refused.
+    pub fn refused_counts(&self) -> (usize, usize) {
+        let ledger = self.lock();
+        let parts = ledger.services.values().map(|s| s.parts.guilty_count()).sum();
+        (parts, ledger.services.values().map(|s| s.requests.guilty_count()).sum())
     }
 
     fn lock(&self) -> MutexGuard<'_, Ledger> {
@@ -191,45 +216,105 @@
 }
 
 impl Ledger {
-    fn suspects(&mut self, service: &str) -> &mut Suspects<PromptPart> {
-        if !self.services.contains_key(service) {
-            let new = Suspects::new(suspects::PROMPT_PARTS);
-            self.services.insert(service.to_owned(), new);
+    fn service(&mut self, name: &str) -> &mut ServiceSuspects {
+        if !self.services.contains_key(name) {
+            self.services.insert(name.to_owned(), ServiceSuspects::default());
+        }
+        &mut self.services[name]
+    }
+}
+
+impl Default for ServiceSuspects {
+    fn default() -> Self {
+        let parts = Suspects::new(suspects::PROMPT_PARTS);
+        Self { parts, requests: Suspects::new(suspects::REPEATED_REQUESTS) }
+    }
+}
+
+impl ServiceSuspects {
+    fn has_reports(&self, now_ms: u64) -> bool {
+        self.parts.reports(now_ms).next().is_some()
+            || self.requests.reports(now_ms).next().is_some()
+    }
+
+    fn has_unsent(&self) -> bool {
+        self.parts.has_unsent() || self.requests.has_unsent()
+    }
+
+    fn record_sent(&mut self) {
+        self.parts.record_sent();
+        self.requests.record_sent();
+    }
+
+    /// Returns the messages about the crashes of the service `name`.
+    fn messages(&self, name: &str, now_ms: u64) -> Vec<peers::Crash> {
+        let mut crashes = IndexMap::<CrashId, peers::Crash>::new();
+        let new = |id: CrashId, age_ms, backends| peers::Crash {
+            service: name.to_owned(),
+            id: id.0,
+            age_ms,
+            backends,
+            ..peers::Crash::default()
+        };
+        for report in self.parts.reports(now_ms) {
+            let CrashReport { id, age_ms, backends, suspects, acquitted } = report;
+            let crash = crashes.entry(id).or_insert_with(|| new(id, age_ms, backends));
+            crash.prompt_parts = suspects.into_iter().map(suspect_message).collect();
+            crash.acquitted_prompt_parts = acquitted.into_iter().map(u64::from).collect();
         }
-        &mut self.services[service]
+        for report in self.requests.reports(now_ms) {
+            let CrashReport { id, age_ms, backends, suspects, acquitted } = report;
+            let crash = crashes.entry(id).or_insert_with(|| new(id, age_ms, backends));
+            crash.requests = suspects.into_iter().map(suspect_message).collect();
+            crash.acquitted_requests = acquitted.into_iter().map(u64::from).collect();
+        }
+        crashes.into_values().collect()
     }
 }
 
-fn crash_message(service: &str, report: CrashReport<PromptPart>) -> peers::Crash {
-    let suspect = |suspect: Suspect<PromptPart>| peers::Suspect {
-        key: suspect.key.0,
+fn crash_report<K: From<u64>>(
+    (id, age_ms, backends): (CrashId, u64, u32),
+    suspects: Vec<peers::Suspect>,
+    acquitted: Vec<u64>,
+) -> CrashReport<K> {
+    let suspect = |suspect: peers::Suspect| Suspect {
+        key: K::from(suspect.key),
         share: suspect.share,
-        requests: suspect.requests.into_iter().map(|request| request.0).collect(),
+        mortality: suspect.mortality,
+        requests: suspect.requests.into_iter().map(Fingerprint).collect(),
     };
-    peers::Crash {
-        service: service.to_owned(),
-        id: report.id.0,
-        age_ms: report.age_ms,
-        backends: report.backends,
-        prompt_parts: report.suspects.into_iter().map(suspect).collect(),
-        acquitted_prompt_parts: report.acquitted.into_iter().map(|part| part.0).collect(),
+    CrashReport {
+        id,
+        age_ms,
+        backends,
+        suspects: suspects.into_iter().map(suspect).collect(),
+        acquitted: acquitted.into_iter().map(K::from).collect(),
+    }
+}
+
+fn suspect_message<K: Into<u64>>(suspect: Suspect<K>) -> peers::Suspect {
+    peers::Suspect {
+        key: suspect.key.into(),
+        share: suspect.share,
+        mortality: suspect.mortality,
+        requests: suspect.requests.into_iter().map(u64::from).collect(),
     }
 }
 
-fn log_changes(
+fn log_changes<K: Copy + Eq + Hash + Display>(
     service: &str,
-    changes: &[StandingChange<PromptPart>],
-    suspects: &Suspects<PromptPart>,
+    kind: &str,
+    changes: &[StandingChange<K>],
+    suspects: &Suspects<K>,
 ) {
     for StandingChange { key, now, .. } in changes {
         let crashes = suspects.crash_count(*key);
         match now {
-            Some(Standing::Guilty) => log::warn!(service, prompt_part:% = key, crashes;
-                "requests with a prompt part crash backends and are refused"),
-            Some(Standing::Suspected) => log::info!(service, prompt_part:% = key, crashes;
-                "prompt part is suspected of crashing backends"),
-            None => log::info!(service, prompt_part:% = key, crashes;
-                "prompt part is no longer suspected"),
+            Some(Standing::Guilty) => log::warn!(service, kind, key:%, crashes;
+                "requests crash backends and are refused"),
+            Some(Standing::Suspected) => log::info!(service, kind, key:%, crashes;
+                "requests are suspected of crashing backends"),
+            None => log::info!(service, kind, key:%, crashes; "requests are no longer suspected"),
         }
     }
 }
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -114,8 +114,7 @@
             BackendState::Crashed if !answer.is_sound() => self.record_crash(call, key),
             // The backend has begun the answer and goes on: another one has crashed, or none.
             BackendState::Alive if answer.has_begun() => {
-                let parts = &call.metadata.shared_prompt_parts;
-                self.crashes.record_begun(&call.service().name, parts, sent_at_ms);
+                self.crashes.record_begun(call.keys(), sent_at_ms);
             }
             _ => {}
         }
@@ -124,10 +123,9 @@
     /// Records that a backend has answered a request. The end of an answer without a length may be
     /// that of the backend, which matters only if the request is a suspect.
     pub(crate) async fn record_answered(&self, call: &Call, key: FleetKey, framing: Framing) {
-        let parts = &call.metadata.shared_prompt_parts;
         let is_certain = framing != Framing::UntilClose;
         if is_certain
-            || self.crashes.is_suspect(&call.service().name, parts)
+            || self.crashes.is_suspect(call.keys())
                 && self.check_backend(key).await == BackendState::Alive
         {
             self.record_sound(call);
@@ -136,7 +134,7 @@
 
     /// Records that a request does not crash backends.
     pub(crate) fn record_sound(&self, call: &Call) {
-        self.crashes.record_answer(&call.service().name, &call.metadata.shared_prompt_parts);
+        self.crashes.record_answer(call.keys());
     }
 
     /// Rejects a request if requests like it crash backends.
@@ -145,15 +143,14 @@
     ///
     /// Fails if the request must not be dispatched.
     pub(crate) fn check_suspicion(&self, call: &Call, relay: &RetryState) -> Result<(), Rejection> {
-        let parts = &call.metadata.shared_prompt_parts;
-        let retry_after = match self.crashes.judge(&call.service().name, parts) {
+        let retry_after = match self.crashes.judge(call.keys()) {
             Verdict::Unsuspected => return Ok(()),
             Verdict::Suspected if !relay.has_crashed() => return Ok(()),
             Verdict::Suspected => Duration::ZERO,
             Verdict::Refused { for_ms } => Duration::from_millis(for_ms),
         };
-        log::info!(request = call.attempt_id.as_str(), prompt_parts = call.prompt_parts_text(),
-            retry_after_ms = retry_after.as_millis() as u64; "requests like this one crash backends");
+        log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
+            prompt_parts = call.prompt_parts_text(), retry_after_ms = retry_after.as_millis() as u64; "requests like this one crash backends");
         metrics::counter!("currantlink_crash_refusals_total").increment(1);
         match relay.may_have_run() {
             true => Err(Rejection::ResponseLost),
@@ -181,8 +178,7 @@
         let snapshot = self.snapshot.load();
         if let Some(member) = snapshot.fleet.get(key) {
             let backends = snapshot.fleet.available(&member.announcement.service).count() as u32;
-            let parts = &call.metadata.shared_prompt_parts;
-            self.crashes.record_crash(member, backends, call.fingerprint, parts);
+            self.crashes.record_crash(member, backends, call.keys());
         }
     }
 
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -374,6 +374,9 @@
         let mut gateways = self.peers.names(Role::Gateway);
         gateways.iter_mut().for_each(|names| names.sort_unstable());
         self.shared.crashes.update(gateways.as_deref());
+        let (refused_parts, refused_requests) = self.shared.crashes.refused_counts();
+        metrics::gauge!("currantlink_refused_prompt_parts").set(refused_parts as f64);
+        metrics::gauge!("currantlink_refused_requests").set(refused_requests as f64);
         let gateway_count = gateways.as_ref().map_or(ASSUMED_GATEWAYS, Vec::len);
         self.shared.rate_limits.set_gateways(gateways);
         let settled = self.fleet.remove_expired(now);
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -26,7 +26,7 @@
 
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
-use crate::crash_ledger::CrashLedger;
+use crate::crash_ledger::{CrashLedger, RequestKeys};
 use crate::departure::Departure;
 use crate::deployment_settings::GatewaySettings;
 use crate::gateway::SharedState;
@@ -116,6 +116,16 @@
         self.table.pool(self.service_key)
     }
 
+    /// Returns what the request may have in common with requests that crash backends.
+    pub(crate) fn keys(&self) -> RequestKeys<'_> {
+        RequestKeys {
+            service: &self.service().name,
+            parts: &self.metadata.shared_prompt_parts,
+            fingerprint: self.fingerprint,
+            attempt: Fingerprint::of(&[self.attempt_id.as_bytes()]),
+        }
+    }
+
     /// Returns the shared parts of the prompt as text for the log.
     pub(crate) fn prompt_parts_text(&self) -> String {
         let parts = self.metadata.shared_prompt_parts.iter();
@@ -295,8 +305,7 @@
                 "request accepted while stopping");
         }
         if !call.is_client_retry {
-            let parts = &call.metadata.shared_prompt_parts;
-            self.crashes.record_arrival(&call.service().name, parts);
+            self.crashes.record_arrival(call.keys());
         }
         let mut relay = RetryState::new(call.route().repeat, call.route().attempts);
         let mut tried = Vec::new();
