Treat a stream without a length and without events as broken off

Callers got a complete, empty event stream when a backend that sends neither a length nor chunks crashed between the head and the first event: the end of its connection looked like the end of the stream.

Such a stream is now broken off, so that it is resumed where the route allows it, and its crash is noticed. A stream that ends inside an event was broken off before, and still is; one that ends after an event is complete.

--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -61,6 +61,11 @@
         self.length >= SOUND_ANSWER
     }
 
+    /// Returns whether an event was received.
+    pub fn has_events(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     fn has_begun(&self) -> bool {
         self.length >= BEGUN_ANSWER
     }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -206,6 +206,10 @@
 }
 
 impl BackendStream {
+    fn is_empty_until_close(&self) -> bool {
+        self.response.head.framing == Framing::UntilClose && !self.answer.has_events()
+    }
+
     async fn read(&mut self, call: &Call, splitter: &mut EventSplitter) -> StreamRead {
         loop {
             let reading = self.response.upstream.read_body(&mut self.framing);
@@ -217,6 +221,12 @@
                         detail: "stream ended within an event",
                     });
                 }
+                // The connection of a backend that crashed ends like such a stream.
+                Ok(Ok(None)) if self.is_empty_until_close() => {
+                    return StreamRead::Broken(UpstreamError::Malformed {
+                        detail: "stream without a length ended before its first event",
+                    });
+                }
                 Ok(Ok(None)) => return StreamRead::End,
                 Ok(Ok(Some(chunk))) => chunk,
             };
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -54,6 +54,9 @@
     Reset,
     /// The event stream is closed in the middle of the event that follows this many events.
     TruncateAfter(u64),
+    /// The event stream has neither a length nor chunks. It ends with the connection, in the middle of the
+    /// event that follows this many events if there is one.
+    UnframedAfter(u64),
     /// The event stream pauses for this long before its last event.
     Stall(Duration),
     /// The event stream pauses before its last event until `release_streams` is called.
@@ -421,7 +424,9 @@
             return Ok(false);
         };
         let from = request.header(names::LAST_EVENT_ID.as_str()).and_then(|id| id.parse().ok());
-        let head = response_head("200 OK", signed_headers, Some("Transfer-Encoding: chunked"));
+        let is_framed = !matches!(fault, Fault::UnframedAfter(_));
+        let framing = is_framed.then_some("Transfer-Encoding: chunked");
+        let head = response_head("200 OK", signed_headers, framing);
         stream.write_all(head.as_bytes()).await?;
         self.crash_if_triggered(request).await;
         self.state().active += 1;
@@ -434,15 +439,25 @@
                     _ => {}
                 }
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
-                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-                if matches!(fault, Fault::TruncateAfter(events) if event > events) {
-                    stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
-                    return Ok(false);
+                let chunk = match is_framed {
+                    true => format!("{:x}\r\n{text}\r\n", text.len()),
+                    false => text,
+                };
+                match fault {
+                    Fault::UnframedAfter(0) => return Ok(false),
+                    Fault::TruncateAfter(events) | Fault::UnframedAfter(events)
+                        if event > events =>
+                    {
+                        stream.write_all(&chunk.as_bytes()[..chunk.len() / 2]).await?;
+                        return Ok(false);
+                    }
+                    _ => stream.write_all(chunk.as_bytes()).await?,
                 }
-                stream.write_all(chunk.as_bytes()).await?;
             }
-            stream.write_all(b"0\r\n\r\n").await?;
-            Ok(true)
+            if is_framed {
+                stream.write_all(b"0\r\n\r\n").await?;
+            }
+            Ok(is_framed)
         };
         let done: io::Result<bool> = done.await;
         let mut state = self.state();
