Leave out a backend that has refused a connection

Attempts without a connection are exempt from the retry budget, so nothing bounded them.

A process that refuses a connection is no candidate for one second; a successor at its address is another backend of the fleet and is used at once.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -179,6 +179,7 @@
                 match Upstream::connect(member.announcement.address, limit).await {
                     Ok(upstream) => (upstream, false),
                     Err(error) => {
+                        self.record_unconnected(key, &error);
                         self.record_failure(call, key, &error.into());
                         return AttemptEnd::NoResponse(Outcome::NotConnected);
                     }
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -9,12 +9,15 @@
 use currantlink_core::suspects::Verdict;
 use currantlink_platform::response::KeepAlive;
 
+use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
 use crate::upstream::{Framing, Upstream, UpstreamError};
 
 /// Timeout of the connection that shows whether a backend's process still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a backend that refused a connection is not tried again.
+const REFUSED_PAUSE_MS: u64 = 1_000;
 /// Length of an unfinished answer that shows that its request does not crash the backend. Requests
 /// that do crash it within a few tokens.
 const SOUND_ANSWER: Duration = Duration::from_secs(1);
@@ -174,8 +177,22 @@
                 self.pool.put_idle(key, upstream, KeepAlive::Unspecified);
                 BackendState::Alive
             }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => BackendState::Crashed,
-            Err(_) => BackendState::Unknown,
+            Err(error) => {
+                self.record_unconnected(key, &error);
+                match error.kind() {
+                    io::ErrorKind::ConnectionRefused => BackendState::Crashed,
+                    _ => BackendState::Unknown,
+                }
+            }
+        }
+    }
+
+    /// Records that a connection to a backend failed. One that refuses connections is not tried again
+    /// for some time: its process has ended, but it stays listed until its announcements are missed.
+    pub(crate) fn record_unconnected(&self, key: FleetKey, error: &io::Error) {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            let until_ms = now_ms() + REFUSED_PAUSE_MS;
+            self.observations.borrow_mut().refused_until_ms.insert(key, until_ms);
         }
     }
 
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -72,6 +72,8 @@
     pub(crate) health: Health<FleetKey>,
     /// Backends whose address was found to be served by another backend.
     pub(crate) misdirected: IndexSet<FleetKey>,
+    /// Backends that refused a connection, and until when they are not tried again.
+    pub(crate) refused_until_ms: IndexMap<FleetKey, u64>,
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
@@ -237,6 +239,7 @@
         let mut observations = self.observations.borrow_mut();
         observations.health.retain(known);
         observations.misdirected.retain(|&key| known(key));
+        observations.refused_until_ms.retain(|&key, _| known(key));
         self.rate_limits.retain(known);
     }
 
