Split messages about crashes into datagrams of at most about a hundred suspects

A message could come to some 60 KB, dozens of packets, of which the loss of one loses all; gateways would then learn of a crash only from a later repetition.

--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -15,8 +15,10 @@
 
 use crate::clock::now_ms;
 
-/// Maximum number of suspects in one message, which keeps it below the size of a datagram.
-const MAX_ANNOUNCED: usize = 1_000;
+/// Number of suspects in one message, unless a single crash has more, and number of messages at a time. A
+/// datagram of many packets would often be lost.
+const MAX_ENTRIES: usize = 100;
+const MAX_MESSAGES: usize = 10;
 /// Time after a crash seen here within which all gateways are told repeatedly, since messages may be
 /// lost.
 const PUSH_MS: u64 = 2_000;
@@ -188,18 +190,28 @@
         }
     }
 
-    /// Returns what other gateways are told.
-    pub fn announced(&self) -> Vec<peers::Crash> {
+    /// Returns the messages that other gateways are sent, newest crashes first.
+    pub fn announced(&self) -> Vec<peers::Crashes> {
         let ledger = self.lock();
         let now = now_ms();
         let crashes = ledger.services.iter().flat_map(|(name, s)| s.messages(name, now));
-        let mut left = MAX_ANNOUNCED;
-        let fits = |crash: &peers::Crash| {
+        let mut messages = Vec::<peers::Crashes>::new();
+        let mut entries = MAX_ENTRIES;
+        for crash in crashes {
             let suspects = crash.prompt_parts.len() + crash.requests.len();
             let acquitted = crash.acquitted_prompt_parts.len() + crash.acquitted_requests.len();
-            left.checked_sub(1 + suspects + acquitted).inspect(|&rest| left = rest).is_some()
-        };
-        crashes.take_while(fits).collect()
+            let own_entries = 1 + suspects + acquitted;
+            entries += own_entries;
+            match messages.last_mut() {
+                Some(message) if entries <= MAX_ENTRIES => message.crashes.push(crash),
+                _ => {
+                    entries = own_entries;
+                    messages.push(peers::Crashes { crashes: vec![crash] });
+                }
+            }
+        }
+        messages.truncate(MAX_MESSAGES);
+        messages
     }
 
     /// Returns the number of prompt parts and of requests that are refused.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -409,10 +409,12 @@
             self.crashes_sent_at_ms = now;
         }
         let addresses: IndexSet<SocketAddr> = addresses.into_iter().chain(untold).collect();
-        let crashes = self.shared.crashes.announced();
-        if !addresses.is_empty() && !crashes.is_empty() {
-            let body = peer_message::Body::Crashes(Crashes { crashes });
-            self.peers.send_all(addresses, body).await;
+        if addresses.is_empty() {
+            return;
+        }
+        for crashes in self.shared.crashes.announced() {
+            let body = peer_message::Body::Crashes(crashes);
+            self.peers.send_all(addresses.iter().copied(), body).await;
         }
     }
 
