Move the weighing of evidence into a module of its own; a leaving backend's exit is no crash

core/suspects had grown to 660 lines with two jobs: keeping and merging what is known of crashes, and weighing it. core/evidence weighs.

By reading: a backend that has announced its leaving exits by itself, so requests that its exit cuts off are no suspects.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod demand;
 pub mod durations;
 pub mod events;
+pub mod evidence;
 pub mod exchange;
 pub mod experts;
 pub mod fanout;
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -158,7 +158,9 @@
             Verdict::Refused { for_ms } => Duration::from_millis(for_ms),
         };
         log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
-            prompt_parts = call.prompt_parts_text(), retry_after_ms = retry_after.as_millis() as u64; "requests like this one crash backends");
+            prompt_parts = call.prompt_parts_text(),
+            retry_after_ms = retry_after.as_millis() as u64;
+            "requests like this one crash backends");
         metrics::counter!("currantlink_crash_refusals_total").increment(1);
         match relay.may_have_run() {
             true => Err(Rejection::ResponseLost),
@@ -198,7 +200,8 @@
 
     fn record_crash(&self, call: &Call, key: FleetKey) {
         let snapshot = self.snapshot.load();
-        if let Some(member) = snapshot.fleet.get(key) {
+        // A backend that leaves exits by itself.
+        if let Some(member) = snapshot.fleet.get(key).filter(|member| !member.leaving) {
             let backends = snapshot.fleet.available(&member.announcement.service).count() as u32;
             self.crashes.record_crash(member, backends, call.keys());
         }
