--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -25,6 +25,8 @@
 2026-12-04T10:20:14.300Z INFO currantlink_daemon::departure msg="caller left" request=stream-13 after_ms=1999
 2026-12-04T10:20:15.001Z INFO currantlink_daemon::placement msg="request placed" request=stream-14 route=resumable backend=model-0 load=5 report_age_ms=15 candidates=12 queue_limit=3 running_limit=12 tried=0 config_version=1
 2026-12-04T10:20:15.700Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-14 reason=silent after_ms=699 last_event=4
+2026-12-04T13:02:08.920Z INFO currantlink_daemon::crashes msg="requests like this one crash backends" request=bad-15 fingerprint=2ee491ea0c2f17a5 prompt_parts=f1,c1,bad0 retry_after_ms=599677
+2026-12-04T13:02:08.920Z INFO currantlink_daemon::request_handler msg="request rejected" request=bad-15 outcome="not-run: crashes-backends" status=503 after_ms=0
 "#;
 
 fn explain(request: &str) -> (bool, String, String) {
@@ -100,3 +102,10 @@
     assert!(!success);
     assert_eq!(err, "currantlink: no log line found for request \"nothing\"\n");
 }
+
+#[test]
+fn crashing_request() {
+    let (_, out, _) = explain("bad-15");
+    let cause = "cause: not run; requests like it crash backends (fingerprint 2ee491ea0c2f17a5, prompt parts f1,c1,bad0)";
+    assert_eq!(out.lines().last(), Some(cause));
+}
--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -503,3 +503,10 @@
         (0..100).map(|key| prober(key, &gateways).unwrap()).collect();
     assert!(probers.len() > 20, "parts are probed by different gateways");
 }
+
+#[test]
+fn large_groups() {
+    let day = Day { is_group: true, backends: 72, gateways: 14, sound_per_s: 250.0, ..CALM };
+    check(Day { crashing_per_s: 0.25, ..day }, 5);
+    check(Day { crashing_per_s: 2.0, ..day }, 5);
+}
