Prove the mechanisms against crashing requests by removing them

Found: nothing detected the time for which crashes wait for the reports of other gateways; late_report now does (fails with 0 ms, passes with 600 ms).

--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -473,6 +473,36 @@
     CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
 }
 
+#[test]
+fn late_report() {
+    let (culprit, sound) = (PromptPart(1), PromptPart(2));
+    let suspect = |key, request| Suspect {
+        key,
+        share: 0.01,
+        mortality: 0.1,
+        requests: vec![Fingerprint(request)],
+    };
+    let report = |id, age_ms, suspects| CrashReport {
+        id: CrashId(id),
+        age_ms,
+        backends: 12,
+        suspects,
+        acquitted: Vec::new(),
+    };
+    let mut suspects = Suspects::new(PROMPT_PARTS);
+    for (id, age_ms) in [(1, 20_000), (2, 10_000)] {
+        suspects.merge([report(id, age_ms, vec![suspect(culprit, id), suspect(sound, id)])], 0);
+    }
+    suspects.merge([report(3, 0, vec![suspect(sound, 3)])], 0);
+    suspects.update(100);
+    assert_ne!(suspects.standing(sound), Some(Standing::Guilty), "others have not reported yet");
+    suspects.merge([report(3, 300, vec![suspect(culprit, 4)])], 300);
+    suspects.merge([report(4, 0, vec![suspect(culprit, 5)])], 5_000);
+    suspects.update(6_000);
+    assert_eq!(suspects.standing(culprit), Some(Standing::Guilty));
+    assert_ne!(suspects.standing(sound), Some(Standing::Guilty));
+}
+
 #[test]
 fn repeated_request() {
     let mut suspects = Suspects::new(PROMPT_PARTS);
