--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -473,34 +473,52 @@
     CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
 }
 
-#[test]
-fn late_report() {
-    let (culprit, sound) = (PromptPart(1), PromptPart(2));
-    let suspect = |key, request| Suspect {
+const CULPRIT: PromptPart = PromptPart(1);
+const SOUND: PromptPart = PromptPart(2);
+
+/// A crash at which each of the keys was in flight with a request of its own.
+fn crash_of(id: u64, age_ms: u64, share: f64, keys: &[PromptPart]) -> CrashReport<PromptPart> {
+    let suspect = |&key: &PromptPart| Suspect {
         key,
-        share: 0.01,
+        share,
         mortality: 0.1,
-        requests: vec![Fingerprint(request)],
-    };
-    let report = |id, age_ms, suspects| CrashReport {
-        id: CrashId(id),
-        age_ms,
-        backends: 12,
-        suspects,
-        acquitted: Vec::new(),
+        requests: vec![Fingerprint::of(&[&id.to_le_bytes(), &key.0.to_le_bytes()])],
     };
+    let suspects = keys.iter().map(suspect).collect();
+    CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
+}
+
+#[test]
+fn late_report() {
     let mut suspects = Suspects::new(PROMPT_PARTS);
-    for (id, age_ms) in [(1, 20_000), (2, 10_000)] {
-        suspects.merge([report(id, age_ms, vec![suspect(culprit, id), suspect(sound, id)])], 0);
-    }
-    suspects.merge([report(3, 0, vec![suspect(sound, 3)])], 0);
+    let both = [CULPRIT, SOUND];
+    suspects.merge([crash_of(1, 20_000, 0.01, &both), crash_of(2, 10_000, 0.01, &both)], 0);
+    suspects.merge([crash_of(3, 0, 0.01, &[SOUND])], 0);
     suspects.update(100);
-    assert_ne!(suspects.standing(sound), Some(Standing::Guilty), "others have not reported yet");
-    suspects.merge([report(3, 300, vec![suspect(culprit, 4)])], 300);
-    suspects.merge([report(4, 0, vec![suspect(culprit, 5)])], 5_000);
+    assert_ne!(suspects.standing(SOUND), Some(Standing::Guilty), "others have not reported yet");
+    suspects.merge([crash_of(3, 300, 0.01, &[CULPRIT])], 300);
+    suspects.merge([crash_of(4, 0, 0.01, &[CULPRIT])], 5_000);
+    suspects.update(6_000);
+    assert_eq!(suspects.standing(CULPRIT), Some(Standing::Guilty));
+    assert_ne!(suspects.standing(SOUND), Some(Standing::Guilty));
+}
+
+#[test]
+fn equal_suspects() {
+    let mut suspects = Suspects::new(PROMPT_PARTS);
+    let both = |id| crash_of(id, 40_000 - 10_000 * id, 0.03, &[CULPRIT, SOUND]);
+    suspects.merge((1..=3).map(both), 0);
+    suspects.update(0);
+    let standings = [CULPRIT, SOUND].map(|key| suspects.standing(key));
+    assert_eq!(
+        standings,
+        [Some(Standing::Suspected); 2],
+        "one explains the crashes like the other"
+    );
+    suspects.merge([crash_of(4, 0, 0.03, &[CULPRIT])], 5_000);
     suspects.update(6_000);
-    assert_eq!(suspects.standing(culprit), Some(Standing::Guilty));
-    assert_ne!(suspects.standing(sound), Some(Standing::Guilty));
+    assert_eq!(suspects.standing(CULPRIT), Some(Standing::Guilty));
+    assert_ne!(suspects.standing(SOUND), Some(Standing::Guilty));
 }
 
 #[test]
