--- a/core/src/evidence.rs
+++ b/core/src/evidence.rs
@@ -294,8 +294,8 @@
                 || case.presence >= min_sole_presence)
     }
 
-    /// Returns whether no other key explains the crashes of a key. Keys that explain the same ones are
-    /// told apart only if the evidence is small.
+    /// Returns whether no other key explains the crashes of a key. Keys that explain exactly the same
+    /// crashes are all guilty if the evidence is large.
     fn is_only_explanation(&self, cases: &IndexMap<K, Case>, key: K, case: &Case) -> bool {
         let explains = |other: &Case| case.crashes.iter().all(|id| other.crashes.contains(id));
         let rivals = cases.iter().filter(|(other, case)| **other != key && explains(case));
--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -62,7 +62,7 @@
 /// Which gateways are told of the crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
-    /// All: a crash was seen here.
+    /// All: a crash or an acquittal was found here.
     All,
     /// Some: they may have missed earlier messages, or have just started.
     Some,
@@ -159,11 +159,11 @@
         for crash in crashes {
             let peers::Crash { service, id, age_ms, backends, .. } = crash;
             let suspects = ledger.service(&service);
-            let empty = (CrashId(id), age_ms, backends);
+            let header = (CrashId(id), age_ms, backends);
             let (keys, acquitted) = (crash.prompt_parts, crash.acquitted_prompt_parts);
-            suspects.parts.merge([crash_report(empty, keys, acquitted)], now);
+            suspects.parts.merge([crash_report(header, keys, acquitted)], now);
             let (keys, acquitted) = (crash.requests, crash.acquitted_requests);
-            suspects.requests.merge([crash_report(empty, keys, acquitted)], now);
+            suspects.requests.merge([crash_report(header, keys, acquitted)], now);
         }
     }
 
