--- /dev/null
+++ b/core/src/election.rs
@@ -0,0 +1,22 @@
+//! When an agent claims the leadership of its group.
+//!
+//! The first ranks claim one after the other, so that one of them leads before the next one claims. The
+//! others draw their time from a common range: if all first ranks are gone together, as with a failure
+//! domain, the group does not wait for each rank in turn.
+
+/// Time without a heartbeat after which the agent of rank 0 claims leadership.
+const LEADER_TIMEOUT_MS: u64 = 400;
+/// Additional timeout per rank, longer than a claim and the first heartbeat take.
+const TIMEOUT_PER_RANK_MS: u64 = 120;
+/// Number of ranks that claim one after the other.
+const ORDERED_RANKS: u32 = 8;
+/// Range from which the additional timeout of the other ranks is drawn.
+const COMMON_RANGE_MS: u64 = 1_500;
+
+/// Returns the time without a heartbeat after which the agent of a rank claims leadership. `draw` is a
+/// random number that the agent keeps.
+pub fn claim_timeout_ms(rank: u32, draw: u64) -> u64 {
+    let ordered_ms = TIMEOUT_PER_RANK_MS * u64::from(rank.min(ORDERED_RANKS));
+    let drawn_ms = if rank < ORDERED_RANKS { 0 } else { draw % COMMON_RANGE_MS };
+    LEADER_TIMEOUT_MS + ordered_ms + drawn_ms
+}
--- /dev/null
+++ b/core/src/shared_reads.rs
@@ -0,0 +1,64 @@
+//! When a process reads a topic of the store that several processes follow, and what it takes from
+//! the reads of others.
+//!
+//! It answers deployments with many gateways: each of them needs every change, but one read tells all.
+//! A gateway passes on what it has read, and the others postpone their own reads. The time of a read
+//! is random, so that usually one gateway is first. The offsets show what a gateway lacks: after a lost
+//! message, its next read starts where it left off.
+
+/// Minimum time from the newest known read of a topic to the next one.
+pub const MIN_READ_INTERVAL_MS: u64 = 750;
+/// Range of the random addition to the interval. It is long compared with the time in which a read is
+/// passed on, and short compared with the time for which a leaving backend accepts requests.
+const READ_SPREAD_MS: u64 = 500;
+
+/// Time of a long poll for each gateway that polls. All gateways together make some calls per second,
+/// and one of them soon notices that connections to the store have become silent.
+const POLL_PER_GATEWAY_MS: u64 = 250;
+/// Shortest long poll.
+const MIN_POLL_MS: u64 = 1_000;
+/// Longest long poll.
+const MAX_POLL_MS: u64 = 10_000;
+
+/// Returns the time from the newest known read of a topic to this process's next read. `draw` is a
+/// uniform random number.
+pub fn read_interval_ms(draw: u64) -> u64 {
+    MIN_READ_INTERVAL_MS + draw % (READ_SPREAD_MS + 1)
+}
+
+/// Returns the time for which a gateway waits in a read for a new configuration, of `gateways` live
+/// gateways that tell each other which version they know.
+pub fn poll_ms(gateways: usize) -> u64 {
+    (gateways as u64 * POLL_PER_GATEWAY_MS).clamp(MIN_POLL_MS, MAX_POLL_MS)
+}
+
+/// What another process has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadRange {
+    /// Offset of the first record.
+    pub from_offset: u64,
+    /// Offset after the last record.
+    pub next_offset: u64,
+}
+
+/// Use of another process's read for this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// The records from this process's position on are new. It continues at the end of the range.
+    New,
+    /// The range ends before this process's position.
+    Outdated,
+    /// Records between this process's position and the range are missing, or the position is unknown.
+    Gap,
+}
+
+impl ReadRange {
+    /// Returns the use of the range for a process that has read all records before `position`.
+    pub fn use_at(self, position: Option<u64>) -> Use {
+        match position {
+            Some(position) if position > self.next_offset => Use::Outdated,
+            Some(position) if position >= self.from_offset => Use::New,
+            _ => Use::Gap,
+        }
+    }
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -17,7 +17,7 @@
     Command, Lead, Load, Peer, PeerMessage, RankReport, Role, peer_message,
 };
 use indexmap::IndexMap;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::backend_reader::{self, POLL_INTERVAL, Reading};
 use crate::clock::now_ms;
@@ -82,7 +82,8 @@
     let peers = peers.map_err(|source| DaemonError::Bind { address, source })?;
     log::info!(name = common.name(), backend:% = settings.backend_address; "agent started");
     let (updates, mut update_queue) = mpsc::unbounded_channel();
-    tokio::spawn(watcher::follow_engine_figures(common.store_address, updates.clone()));
+    let (figures_needed, needed) = watch::channel(false);
+    tokio::spawn(watcher::follow_engine_figures(common.store_address, updates.clone(), needed));
     tokio::spawn(watcher::follow_peers(common.store_address, own, updates));
     let (events, mut event_queue) = mpsc::unbounded_channel();
     let wake = Arc::new(Notify::new());
@@ -94,7 +95,7 @@
         Arc::clone(&wake),
         Arc::clone(&busy_until_ms),
     ));
-    let mut agent = Agent::new(settings, peers, events, wake, busy_until_ms);
+    let mut agent = Agent::new(settings, peers, events, wake, busy_until_ms, figures_needed);
     let mut tick = tokio::time::interval(POLL_INTERVAL);
     while !agent.can_exit() {
         tokio::select! {
@@ -132,11 +133,16 @@
     events: mpsc::UnboundedSender<Event>,
     wake: Arc<Notify>,
     busy_until_ms: Arc<AtomicU64>,
+    /// Whether this agent needs the figures of the engines, as a leader or to become one.
+    figures_needed: watch::Sender<bool>,
     table: Option<RouteTable>,
     rank: Option<RankState>,
     leader: Option<KnownLeader>,
     group_leader: Option<GroupLeader>,
-    started_ms: u64,
+    /// Time at which the rank of this agent's backend was first read.
+    rank_known_ms: u64,
+    /// Random number that determines when this agent claims leadership.
+    claim_draw: u64,
     /// Time at which the process exits in any case, once it is stopping.
     exit_at_ms: Option<u64>,
     order_queued_ms: u64,
@@ -161,6 +167,7 @@
         events: mpsc::UnboundedSender<Event>,
         wake: Arc<Notify>,
         busy_until_ms: Arc<AtomicU64>,
+        figures_needed: watch::Sender<bool>,
     ) -> Self {
         Self {
             settings,
@@ -168,11 +175,13 @@
             events,
             wake,
             busy_until_ms,
+            figures_needed,
             table: None,
             rank: None,
             leader: None,
             group_leader: None,
-            started_ms: now_ms(),
+            rank_known_ms: 0,
+            claim_draw: rand::random(),
             exit_at_ms: None,
             order_queued_ms: 0,
             claim_sent_ms: 0,
@@ -208,9 +217,12 @@
             Update::Config(text) => self.configure(&text),
             Update::SharedKey(key) => self.peers.set_key(key),
             Update::Peer(peer) => {
-                self.peers.register(peer, false);
+                self.peers.register_record(peer);
             }
-            Update::Backends(_) | Update::BackendChanges(_) | Update::StoreReconnected => {}
+            Update::Backends(_)
+            | Update::BackendChanges(_)
+            | Update::StoreReconnected
+            | Update::PassOn(_) => {}
         }
     }
 
@@ -251,6 +263,10 @@
         if rank.busy || rank.armed.is_some() || rank.held_step.is_some() {
             self.busy_until_ms.store(now_ms() + CHANGE_ACTIVE_MS, Ordering::Relaxed);
         }
+        self.peers.set_own_group(&rank.group);
+        if self.rank.is_none() {
+            self.rank_known_ms = now_ms();
+        }
         // Every pass changes the step, which is not worth a report of its own.
         let is_changed = self.rank.as_ref().is_none_or(|known| !known.is_same_except_step(&rank))
             || !choices.is_empty();
@@ -303,7 +319,7 @@
             return;
         }
         let gateways: Vec<SocketAddr> =
-            self.peers.alive(Role::Gateway).map(|(_, address)| address).collect();
+            self.peers.live_gateways().map(|(_, address)| address).collect();
         self.peers.send_all(gateways, peer_message::Body::Load(load.clone())).await;
         self.load_sent = Some((now, load));
     }
@@ -311,9 +327,7 @@
     async fn handle_message(&mut self, from: SocketAddr, message: PeerMessage) {
         match message.body {
             Some(peer_message::Body::Hello(hello)) => {
-                if let Some(peer) = hello.peer {
-                    self.peers.register(peer, true);
-                }
+                self.peers.register_hello(&hello);
             }
             Some(peer_message::Body::Lead(lead)) => self.handle_heartbeat(from, &lead),
             Some(peer_message::Body::RankReport(report)) => self.handle_report(from, report).await,
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use currantlink_core::fanout;
 use currantlink_core::routes::{ExpertProfile, PoolKey};
 use currantlink_core::switch::{Action, Order};
+use currantlink_core::{election, fanout};
 use currantlink_platform::engine::EngineState;
 use currantlink_platform::names;
 use currantlink_platform::store::StoreClient;
-use currantlink_wire::peers::{Hello, Lead, Role, peer_message};
+use currantlink_wire::peers::{Hello, Lead, peer_message};
+use indexmap::IndexSet;
 
 use super::{Agent, Event};
 use crate::backend_reader;
@@ -23,10 +24,9 @@
 
 /// Interval between heartbeats of a leader.
 const HEARTBEAT_INTERVAL_MS: u64 = 100;
-/// Time without a heartbeat after which the agent of rank 0 claims leadership.
-const LEADER_TIMEOUT_MS: u64 = 400;
-/// Additional timeout per rank, so that agents do not all claim leadership at once.
-const TIMEOUT_PER_RANK_MS: u64 = 120;
+/// Number of ranks whose agents know the figures of the engines before they claim leadership. They
+/// claim before all others.
+const FIRST_CLAIMANTS: u32 = 3;
 /// Minimum interval between two claims of one agent.
 const CLAIM_INTERVAL_MS: u64 = 1_500;
 /// Timeout of a claim in the store.
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Sends a heartbeat to all agents, which names the collector of each.
+    /// Sends a heartbeat to the agents of the group, which names the collector of each.
     async fn send_heartbeat(&self, group: &str, group_leader: &GroupLeader) {
         let own_link = self.settings.common.link_address();
         let lead = |collector_address: String| {
@@ -94,15 +94,15 @@
                 backend_reader::COUNTS_INTERVAL_MS,
             )
         });
-        let mut collected = Vec::new();
+        let mut collected = IndexSet::new();
         if needs_collectors {
             for branch in fanout::branches(&reporting) {
                 let body = lead(branch[0].to_string());
                 self.peers.send_all(branch[1..].iter().copied(), body).await;
-                collected.extend_from_slice(&branch[1..]);
+                collected.extend(branch[1..].iter().copied());
             }
         }
-        let agents = self.peers.alive(Role::Agent).map(|(_, address)| address);
+        let agents = self.peers.group_agents().map(|(_, address)| address);
         let others: Vec<SocketAddr> =
             agents.filter(|address| !collected.contains(address)).collect();
         self.peers.send_all(others, lead(String::new())).await;
@@ -117,7 +117,7 @@
         if let Some(group_leader) = &mut self.group_leader {
             let mut backends_to_read = group_leader.take_due_reads(now);
             if group_leader.take_discovery_due(now) {
-                let backends = self.peers.registered(Role::Agent).map(|peer| &peer.backend_address);
+                let backends = self.peers.group_agents().map(|(peer, _)| &peer.backend_address);
                 let backends = backends.filter_map(|backend| backend.parse().ok());
                 backends_to_read
                     .extend(backends.filter(|&backend| !group_leader.has_backend(backend)));
@@ -134,9 +134,14 @@
             self.advance_change().await;
             return;
         }
-        let heartbeat_ms = self.leader.map_or(self.started_ms, |leader| leader.heartbeat_ms);
-        let timeout_ms = LEADER_TIMEOUT_MS + TIMEOUT_PER_RANK_MS * u64::from(rank.rank);
-        if now > heartbeat_ms + timeout_ms
+        let heartbeat_ms = self.leader.map_or(self.rank_known_ms, |leader| leader.heartbeat_ms);
+        let timeout_ms = election::claim_timeout_ms(rank.rank, self.claim_draw);
+        let is_claiming = now > heartbeat_ms + timeout_ms;
+        self.figures_needed.send_if_modified(|needed| {
+            let is_needed = rank.rank < FIRST_CLAIMANTS || is_claiming;
+            std::mem::replace(needed, is_needed) != is_needed
+        });
+        if is_claiming
             && now > self.claim_sent_ms + CLAIM_INTERVAL_MS
             && self.expert_profile().is_some()
         {
--- /dev/null
+++ b/daemon/src/backend_follower.rs
@@ -0,0 +1,151 @@
+//! Follows the backends in the store. Gateways pass on to each other what they read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use currantlink_core::fleet::Observation;
+use currantlink_core::shared_reads::{self, ReadRange, Use};
+use currantlink_platform::store::KeyedRecord;
+use currantlink_platform::{directory, names};
+use currantlink_wire::peers::{BackendRecords, StoreRecord};
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::watcher::{RETRY_DELAY, TopicRead, TopicReader, Update, Updates};
+
+/// Time after an outage of the store for which gateways tell each other of its end. Entries that
+/// expired during the outage reappear in this time.
+const RECONNECTED_ANNOUNCE: Duration = Duration::from_secs(2);
+
+/// Records that other gateways have read.
+pub type ReceivedRecords = mpsc::UnboundedReceiver<BackendRecords>;
+
+/// Follows the backends until a channel is closed.
+pub async fn follow(store: SocketAddr, updates: Updates, mut received: ReceivedRecords) {
+    let reader = TopicReader::new(store, names::BACKENDS_TOPIC);
+    let mut follower =
+        BackendFollower { reader, entries: IndexMap::new(), reconnected_at: None, updates };
+    let mut read_at = Instant::now();
+    loop {
+        let is_open = tokio::select! {
+            message = received.recv() => match message {
+                Some(message) => follower.apply_received(message, &mut read_at),
+                None => return,
+            },
+            () = tokio::time::sleep_until(read_at) => follower.read(&mut read_at).await,
+        };
+        if is_open.is_none() {
+            return;
+        }
+    }
+}
+
+struct BackendFollower {
+    reader: TopicReader,
+    /// Last observation of each backend. Records that only confirm it are not passed on.
+    entries: IndexMap<String, Observation>,
+    reconnected_at: Option<Instant>,
+    updates: Updates,
+}
+
+impl BackendFollower {
+    /// Reads once and schedules the next read. Returns `None` if the receiver of updates is dropped.
+    async fn read(&mut self, read_at: &mut Instant) -> Option<()> {
+        let from_offset = self.reader.position();
+        let Some((read, is_reconnected)) = self.reader.attempt(Duration::ZERO).await else {
+            *read_at = Instant::now() + RETRY_DELAY;
+            return Some(());
+        };
+        if is_reconnected {
+            self.reconnect(Instant::now())?;
+        }
+        match read {
+            TopicRead::All(records) => {
+                let listing: Vec<(String, Observation)> = records.iter().map(decode).collect();
+                self.entries = listing.iter().cloned().collect();
+                self.updates.send(Update::Backends(listing)).ok()?;
+            }
+            TopicRead::Changes(records) => {
+                let range = from_offset.zip(self.reader.position());
+                let changes = self.apply(records)?;
+                if let Some((from_offset, next_offset)) = range {
+                    self.pass_on(ReadRange { from_offset, next_offset }, changes)?;
+                }
+            }
+        }
+        *read_at = next_read();
+        Some(())
+    }
+
+    /// Applies the records of another gateway's read, if they follow those that are known.
+    fn apply_received(&mut self, message: BackendRecords, read_at: &mut Instant) -> Option<()> {
+        let (from_offset, next_offset) = (message.from_offset, message.next_offset);
+        let position = self.reader.position();
+        if (ReadRange { from_offset, next_offset }).use_at(position) != Use::New {
+            return Some(());
+        }
+        let reconnected_age = message.reconnected_age_ms.map(Duration::from_millis);
+        if let Some(age) = reconnected_age.filter(|age| *age < RECONNECTED_ANNOUNCE)
+            && self.reconnected_at.is_none_or(|at| at.elapsed() > RECONNECTED_ANNOUNCE)
+        {
+            self.reconnect(Instant::now().checked_sub(age).unwrap_or_else(Instant::now))?;
+        }
+        let new = message.records.into_iter().filter(|r| Some(r.offset) >= position);
+        let new = new.map(|StoreRecord { offset, key, value }| {
+            let value = (!value.is_empty()).then_some(value);
+            (offset, KeyedRecord { key, value })
+        });
+        self.apply(new)?;
+        self.reader.set_position(next_offset);
+        *read_at = next_read();
+        Some(())
+    }
+
+    fn reconnect(&mut self, at: Instant) -> Option<()> {
+        self.reconnected_at = Some(at);
+        self.updates.send(Update::StoreReconnected).ok()
+    }
+
+    /// Applies records, and returns those that change an entry.
+    fn apply(
+        &mut self,
+        records: impl IntoIterator<Item = (u64, KeyedRecord)>,
+    ) -> Option<Vec<StoreRecord>> {
+        let (mut changes, mut changed) = (Vec::new(), Vec::new());
+        for (offset, record) in records {
+            let (key, observation) = decode(&record);
+            if self.entries.get(&key) == Some(&observation) {
+                continue;
+            }
+            match observation {
+                Observation::Dropped => drop(self.entries.shift_remove(&key)),
+                _ => drop(self.entries.insert(key.clone(), observation.clone())),
+            }
+            changes.push((key.clone(), observation));
+            let value = record.value.unwrap_or_default();
+            changed.push(StoreRecord { offset, key, value });
+        }
+        if !changes.is_empty() {
+            self.updates.send(Update::BackendChanges(changes)).ok()?;
+        }
+        Some(changed)
+    }
+
+    fn pass_on(&self, range: ReadRange, records: Vec<StoreRecord>) -> Option<()> {
+        let age = self.reconnected_at.map(|at| at.elapsed());
+        let reconnected_age_ms =
+            age.filter(|age| *age < RECONNECTED_ANNOUNCE).map(|age| age.as_millis() as u64);
+        let ReadRange { from_offset, next_offset } = range;
+        let message = BackendRecords { from_offset, next_offset, records, reconnected_age_ms };
+        self.updates.send(Update::PassOn(message)).ok()
+    }
+}
+
+fn decode(record: &KeyedRecord) -> (String, Observation) {
+    (record.key.clone(), directory::decode(record))
+}
+
+fn next_read() -> Instant {
+    Instant::now() + Duration::from_millis(shared_reads::read_interval_ms(rand::random()))
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -18,15 +18,16 @@
 use currantlink_core::stop::{Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{
-    Crashes, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
+    BackendRecords, Crashes, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
 };
 use indexmap::IndexSet;
 use rand::seq::IteratorRandom as _;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
 use crate::agent;
+use crate::backend_follower;
 use crate::clock::now_ms;
 use crate::crash_ledger::{Audience, CrashLedger};
 use crate::deployment_settings::{self, GatewaySettings};
@@ -50,6 +51,8 @@
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a leaving backend is announced to peers.
 const LEAVING_ANNOUNCE_MS: u64 = 10_000;
+/// Minimum interval between reads of the configuration because a peer knows a newer one.
+const CONFIG_NOTIFY_INTERVAL_MS: u64 = 1_000;
 /// Interval between repeated messages about crashes.
 const CRASHES_INTERVAL_MS: u64 = 500;
 /// Number of gateways that are told of earlier crashes at a time.
@@ -236,15 +239,20 @@
     };
     let (updates, mut queue) = mpsc::unbounded_channel();
     let store = common.store_address;
-    tokio::spawn(watcher::follow_config(store, updates.clone()));
-    tokio::spawn(watcher::follow_backends(store, updates.clone()));
+    let config_outdated = Arc::new(Notify::new());
+    let (gateway_counts, counts) = watch::channel(1);
+    let (received_records, records) = mpsc::unbounded_channel();
+    let outdated = Arc::clone(&config_outdated);
+    tokio::spawn(watcher::follow_config(store, updates.clone(), outdated, counts));
+    tokio::spawn(backend_follower::follow(store, updates.clone(), records));
     tokio::spawn(watcher::follow_peers(store, own, updates));
-    let mut control = Control::new(peers, shared);
+    let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: 0 };
+    let mut control = Control::new(peers, shared, readers);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     loop {
         tokio::select! {
             update = queue.recv() => match update {
-                Some(update) => control.apply_update(update),
+                Some(update) => control.apply_update(update).await,
                 None => return,
             },
             received = control.peers.receive() => match received {
@@ -259,10 +267,41 @@
     }
 }
 
+/// The tasks that read the store, as the control thread informs them.
+struct Readers {
+    /// Notified when a peer knows a newer configuration.
+    config_outdated: Arc<Notify>,
+    /// Number of live gateways.
+    gateway_counts: watch::Sender<usize>,
+    /// Records of backends that other gateways have read.
+    received_records: mpsc::UnboundedSender<BackendRecords>,
+    /// Time of the last notification.
+    notified_ms: u64,
+}
+
+impl Readers {
+    /// Passes records that another gateway has read on to the task that follows the backends.
+    fn pass_on(&self, records: BackendRecords) {
+        if self.received_records.send(records).is_err() {
+            log::error!("records dropped: the task that follows the backends has ended");
+        }
+    }
+
+    /// Lets the configuration be read. Peers repeat their messages, so a reader that is still busy is
+    /// not interrupted by each.
+    fn notify_outdated(&mut self, now_ms: u64) {
+        if now_ms >= self.notified_ms + CONFIG_NOTIFY_INTERVAL_MS {
+            self.notified_ms = now_ms;
+            self.config_outdated.notify_one();
+        }
+    }
+}
+
 /// State of the control thread, which publishes routing snapshots.
 struct Control {
     peers: Peers,
     shared: SharedState,
+    readers: Readers,
     snapshot: RoutingSnapshot,
     fleet: Fleet,
     leaving: VecDeque<(u64, Leaving)>,
@@ -272,15 +311,15 @@
 }
 
 impl Control {
-    fn new(peers: Peers, shared: SharedState) -> Self {
+    fn new(peers: Peers, shared: SharedState, readers: Readers) -> Self {
         let snapshot =
             RoutingSnapshot { gateway_count: ASSUMED_GATEWAYS, ..RoutingSnapshot::default() };
         let (fleet, leaving) = (Fleet::default(), VecDeque::new());
         let untold = Vec::new();
-        Self { peers, shared, snapshot, fleet, leaving, crashes_sent_at_ms: 0, untold }
+        Self { peers, shared, readers, snapshot, fleet, leaving, crashes_sent_at_ms: 0, untold }
     }
 
-    fn apply_update(&mut self, update: Update) {
+    async fn apply_update(&mut self, update: Update) {
         let now = now_ms();
         let changed = match update {
             Update::Config(text) => self.apply_config(&text),
@@ -296,12 +335,18 @@
                 }
                 changed
             }
+            Update::PassOn(records) => {
+                let gateways = self.peers.live_gateways().map(|(_, address)| address);
+                let gateways: Vec<SocketAddr> = gateways.collect();
+                self.peers.send_all(gateways, peer_message::Body::BackendRecords(records)).await;
+                false
+            }
             Update::SharedKey(key) => {
                 self.peers.set_key(key);
                 false
             }
             Update::Peer(peer) => {
-                self.register(peer, false);
+                self.peers.register_record(peer);
                 false
             }
         };
@@ -310,6 +355,11 @@
         }
     }
 
+    /// Returns the version of the configuration in force, or 0 if there is none.
+    fn config_version(&self) -> u64 {
+        self.snapshot.table.as_ref().map_or(0, |table| table.version())
+    }
+
     fn apply_config(&mut self, text: &Bytes) -> bool {
         let known = self.snapshot.table.as_ref().map(|table| table.version());
         match config::decode(text) {
@@ -330,8 +380,9 @@
         match message.body {
             Some(peer_message::Body::Load(load)) => self.record_load(&load),
             Some(peer_message::Body::Hello(hello)) => {
-                if let Some(peer) = hello.peer {
-                    self.register(peer, true);
+                self.register_hello(&hello);
+                if hello.config_version > self.config_version() {
+                    self.readers.notify_outdated(now_ms());
                 }
                 let mut changed = false;
                 for Leaving { id, born_ms } in &hello.leaving {
@@ -347,13 +398,14 @@
             Some(peer_message::Body::Crashes(Crashes { crashes })) => {
                 self.shared.crashes.learn(crashes);
             }
+            Some(peer_message::Body::BackendRecords(records)) => self.readers.pass_on(records),
             _ => {}
         }
     }
 
-    fn register(&mut self, peer: Peer, is_hello: bool) {
-        let is_gateway = peer.role() == Role::Gateway;
-        let first_hello_from = self.peers.register(peer, is_hello);
+    fn register_hello(&mut self, hello: &Hello) {
+        let is_gateway = hello.peer.as_ref().is_some_and(|peer| peer.role() == Role::Gateway);
+        let first_hello_from = self.peers.register_hello(hello);
         self.untold.extend(first_hello_from.filter(|_| is_gateway));
     }
 
@@ -371,13 +423,14 @@
 
     async fn tick(&mut self) {
         let now = now_ms();
-        let mut gateways = self.peers.names(Role::Gateway);
+        let mut gateways = self.peers.gateway_names();
         gateways.iter_mut().for_each(|names| names.sort_unstable());
         self.shared.crashes.update(gateways.as_deref());
         let (refused_parts, refused_requests) = self.shared.crashes.refused_counts();
         metrics::gauge!("currantlink_refused_prompt_parts").set(refused_parts as f64);
         metrics::gauge!("currantlink_refused_requests").set(refused_requests as f64);
         let gateway_count = gateways.as_ref().map_or(ASSUMED_GATEWAYS, Vec::len);
+        self.readers.gateway_counts.send_replace(gateways.as_ref().map_or(1, Vec::len));
         self.shared.rate_limits.set_gateways(gateways);
         let settled = self.fleet.remove_expired(now);
         if settled || gateway_count != self.snapshot.gateway_count {
@@ -387,10 +440,11 @@
         while self.leaving.front().is_some_and(|(at, _)| at + LEAVING_ANNOUNCE_MS < now) {
             self.leaving.pop_front();
         }
-        let config_version = self.snapshot.table.as_ref().map_or(0, |table| table.version());
+        let config_version = self.config_version();
         let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
         let named_rates = || self.shared.rate_limits.announced(&self.fleet);
-        let hello = || Hello { peer: None, config_version, leaving, named_rates: named_rates() };
+        let hello =
+            || Hello { config_version, leaving, named_rates: named_rates(), ..Hello::default() };
         self.peers.send_hello(hello).await;
         self.send_crashes(now).await;
     }
@@ -399,7 +453,7 @@
     async fn send_crashes(&mut self, now: u64) {
         let is_interval = now >= self.crashes_sent_at_ms + CRASHES_INTERVAL_MS;
         let untold = std::mem::take(&mut self.untold);
-        let gateways = self.peers.alive(Role::Gateway).map(|(_, address)| address);
+        let gateways = self.peers.live_gateways().map(|(_, address)| address);
         let addresses = match self.shared.crashes.audience(is_interval) {
             Some(Audience::All) => gateways.collect(),
             Some(Audience::Some) => gateways.choose_multiple(&mut rand::rng(), CRASHES_FANOUT),
--- a/daemon/src/key.rs
+++ b/daemon/src/key.rs
@@ -8,7 +8,7 @@
 const MIN_KEY_BYTES: usize = 32;
 
 /// Key shared by all processes of a system. Its debug output omits the bytes.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct LinkKey(Vec<u8>);
 
 impl std::fmt::Debug for LinkKey {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod attempts;
 pub mod backend;
+pub mod backend_follower;
 pub mod backend_reader;
 pub mod call;
 pub mod caller_stream;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -3,9 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 
+use currantlink_core::membership::{Greeting, Membership, Origin};
 use currantlink_wire::peers::{Hello, Peer, PeerMessage, Role, peer_message};
 use hmac::Mac;
-use indexmap::IndexMap;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -15,33 +15,16 @@
 const TAG_BYTES: usize = 16;
 /// Largest datagram over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
-/// Interval between hello messages to each peer.
-pub const HELLO_INTERVAL_MS: u64 = 500;
-/// Time without a hello message after which a peer counts as stopped. It allows for several lost
-/// messages.
-pub const PEER_TIMEOUT_MS: u64 = 2_000;
 /// Time after the start by which all live peers have sent a hello message, including peers that
 /// started at the same time.
 const DISCOVERY_MS: u64 = 10_000;
-/// Time without a hello message after which a peer is removed. Hello messages are sent to the peer
-/// until then, since the peer may return.
-const EVICT_AFTER_MS: u64 = 60_000;
 
 /// The other processes of the deployment and the socket for datagrams to them.
 pub struct Peers {
     socket: UdpSocket,
-    own: Peer,
+    membership: Membership,
     keys: Vec<LinkKey>,
-    known: IndexMap<String, KnownPeer>,
     buffer: Vec<u8>,
-    hello_sent_ms: u64,
-}
-
-struct KnownPeer {
-    peer: Peer,
-    address: SocketAddr,
-    last_seen_ms: u64,
-    has_sent_hello: bool,
 }
 
 impl Peers {
@@ -53,86 +36,90 @@
     pub async fn bind(address: SocketAddr, own: Peer) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let known = IndexMap::new();
-        Ok(Self { socket, own, keys: Vec::new(), known, buffer, hello_sent_ms: 0 })
+        Ok(Self { socket, membership: Membership::new(own), keys: Vec::new(), buffer })
     }
 
     /// Sets the key for sent datagrams. Datagrams with the previous key are still accepted.
     pub fn set_key(&mut self, key: LinkKey) {
         const ACCEPTED_KEYS: usize = 2;
+        if self.keys.first() == Some(&key) {
+            return;
+        }
         self.keys.insert(0, key);
         self.keys.truncate(ACCEPTED_KEYS);
     }
 
-    /// Adds or updates a peer. `is_hello` is set if the peer was received in a hello message. Only a
-    /// hello message shows that the peer is alive; a record in the store may be out of date.
-    ///
-    /// Returns the address of the peer if this is the first hello message of its process.
-    pub fn register(&mut self, peer: Peer, is_hello: bool) -> Option<SocketAddr> {
+    /// Sets the group of this agent's rank.
+    pub fn set_own_group(&mut self, group: &str) {
+        self.membership.set_own_group(now_ms(), group);
+    }
+
+    /// Adds or updates a peer that registered itself in the store.
+    pub fn register_record(&mut self, peer: Peer) {
+        self.register(peer, Origin::Store);
+    }
+
+    /// Adds or updates the sender of a hello message. Returns its address if this is the first hello
+    /// message of its process.
+    pub fn register_hello(&mut self, hello: &Hello) -> Option<SocketAddr> {
+        let Hello { wants_response, receiver_incarnation, .. } = *hello;
+        let origin = Origin::Hello { group: &hello.group, wants_response, receiver_incarnation };
+        self.register(hello.peer.clone()?, origin)
+    }
+
+    fn register(&mut self, peer: Peer, origin: Origin<'_>) -> Option<SocketAddr> {
         let Ok(address) = peer.address.parse() else {
             log::warn!(peer = peer.name.as_str(); "peer has a malformed address");
             return None;
         };
-        if peer.name == self.own.name {
-            return None;
-        }
-        let known = self.known.get(&peer.name);
-        let is_new = known.is_none_or(|known| known.peer.incarnation != peer.incarnation);
-        let is_first = is_hello && (is_new || known.is_none_or(|known| !known.has_sent_hello));
-        if is_new {
-            let (name, incarnation) = (peer.name.as_str(), peer.incarnation);
-            log::info!(peer = name, incarnation; "peer discovered");
-            self.hello_sent_ms = 0;
+        let (name, incarnation) = (peer.name.clone(), peer.incarnation);
+        let registration = self.membership.register(now_ms(), peer, address, origin)?;
+        if registration.is_new {
+            log::info!(peer = name.as_str(), incarnation; "peer discovered");
         }
-        let has_sent_hello = is_hello || known.is_some_and(|known| known.has_sent_hello);
-        let last_seen_ms =
-            if is_hello { now_ms() } else { known.map_or(now_ms(), |k| k.last_seen_ms) };
-        self.known
-            .insert(peer.name.clone(), KnownPeer { peer, address, last_seen_ms, has_sent_hello });
-        is_first.then_some(address)
+        registration.is_first_hello.then_some(address)
     }
 
-    /// Returns the peers of a role that have sent a hello message recently.
-    pub fn alive(&self, role: Role) -> impl Iterator<Item = (&Peer, SocketAddr)> {
-        let now = now_ms();
-        let alive = move |k: &&KnownPeer| {
-            k.has_sent_hello && now < k.last_seen_ms + PEER_TIMEOUT_MS && k.peer.role() == role
-        };
-        self.known.values().filter(alive).map(|k| (&k.peer, k.address))
+    /// Returns the gateways that have sent a hello message recently.
+    pub fn live_gateways(&self) -> impl Iterator<Item = (&Peer, SocketAddr)> {
+        self.membership.alive(now_ms(), Role::Gateway)
     }
 
-    /// Returns all registered peers of a role, alive or not.
-    pub fn registered(&self, role: Role) -> impl Iterator<Item = &Peer> {
-        self.known.values().map(|known| &known.peer).filter(move |peer| peer.role() == role)
+    /// Returns the agents that are, or may be, in the group of this agent's rank, alive or not.
+    pub fn group_agents(&self) -> impl Iterator<Item = (&Peer, SocketAddr)> {
+        self.membership.group_agents()
     }
 
-    /// Returns the names of the processes of a role, including this process if it has the role, in no
-    /// order.
+    /// Returns the names of the gateways, including this process if it is one, in no order.
     ///
     /// Returns `None` before the key has been read from the store. Until all live peers have had
-    /// time to send a hello message, all registered peers count.
-    pub fn names(&self, role: Role) -> Option<Vec<String>> {
+    /// time to send a hello message, all registered gateways count.
+    pub fn gateway_names(&self) -> Option<Vec<String>> {
         self.keys.first()?;
-        let own = Some(&self.own).filter(|own| own.role() == role);
+        let own = Some(self.membership.own()).filter(|own| own.role() == Role::Gateway);
         let others: Vec<&Peer> = match now_ms() < DISCOVERY_MS {
-            true => self.registered(role).collect(),
-            false => self.alive(role).map(|(peer, _)| peer).collect(),
+            true => self.membership.registered(Role::Gateway).collect(),
+            false => self.live_gateways().map(|(peer, _)| peer).collect(),
         };
         Some(own.into_iter().chain(others).map(|peer| peer.name.clone()).collect())
     }
 
-    /// Sends a hello message to all peers if the interval has elapsed.
+    /// Sends the hello messages that are due. Only gateways are sent the content of `hello`.
     pub async fn send_hello(&mut self, hello: impl FnOnce() -> Hello) {
-        let now = now_ms();
-        if now < self.hello_sent_ms + HELLO_INTERVAL_MS {
+        if self.keys.is_empty() {
             return;
         }
-        self.hello_sent_ms = now;
-        self.known.retain(|_, known| now < known.last_seen_ms + EVICT_AFTER_MS);
-        let hello = Hello { peer: Some(self.own.clone()), ..hello() };
-        let datagram = self.seal(peer_message::Body::Hello(hello));
-        let addresses: Vec<SocketAddr> = self.known.values().map(|k| k.address).collect();
-        for address in addresses {
+        let greetings = self.membership.take_greetings(now_ms());
+        if greetings.is_empty() {
+            return;
+        }
+        let content = hello();
+        for Greeting { address, role, receiver_incarnation, wants_response } in greetings {
+            let content = if role == Role::Gateway { content.clone() } else { Hello::default() };
+            let peer = Some(self.membership.own().clone());
+            let group = self.membership.own_group().to_owned();
+            let hello = Hello { peer, group, wants_response, receiver_incarnation, ..content };
+            let datagram = self.seal(peer_message::Body::Hello(hello));
             self.send_sealed(address, &datagram).await;
         }
     }
@@ -166,7 +153,8 @@
 
     fn seal(&self, body: peer_message::Body) -> Option<Vec<u8>> {
         let key = self.keys.first()?;
-        let message = PeerMessage { incarnation: self.own.incarnation, body: Some(body) };
+        let incarnation = self.membership.own().incarnation;
+        let message = PeerMessage { incarnation, body: Some(body) };
         let payload = message.encode_to_vec();
         let mut datagram = compute_tag(key, &payload).to_vec();
         datagram.extend_from_slice(&payload);
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -1,39 +1,38 @@
 //! Follows the store's topics: configuration, backends and peers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use currantlink_core::fleet::Observation;
+use currantlink_core::shared_reads;
 use currantlink_platform::error::StoreError;
+use currantlink_platform::names;
 use currantlink_platform::store::{self, KeyedRecord, Listing, StoreClient};
-use currantlink_platform::{directory, names};
-use currantlink_wire::peers::Peer;
+use currantlink_wire::peers::{BackendRecords, Peer};
 use prost::Message;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::key::LinkKey;
 
 /// Timeout for a call to the store. A response usually takes a few milliseconds, and at most a few
 /// hundred.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Long-poll wait of a gateway for a new configuration. A silent connection is detected after this
-/// time, well within the time allowed for applying a new configuration.
-const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Long-poll wait of an agent that needs the figures of the engines.
+const ENGINE_FIGURES_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval between an agent's reads of the configuration, of which it uses only the figures of the
 /// engines. A long poll would return at every change of a route or a key.
 const ENGINE_FIGURES_READ_INTERVAL: Duration = Duration::from_secs(20);
-/// Interval between reads of the backends' records. A leaving backend accepts requests for some
-/// seconds after its announcement.
-const BACKENDS_READ_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Initial interval between reads of the peers' records; it doubles with each read. Processes that
-/// start together may miss each other's records on the first read.
-const PEERS_READ_INITIAL_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum interval between reads of the peers' records. Peers that start later send a hello
-/// themselves.
-const PEERS_READ_MAX_INTERVAL: Duration = Duration::from_secs(16);
+/// Minimum interval between reads of the configuration. Several changes in quick succession are read
+/// together.
+const CONFIG_MIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time for which a process waits for another one to create the shared key.
+const MAX_KEY_DELAY: Duration = Duration::from_millis(500);
+/// Interval between reads of the peers' records. Peers that start later send a hello themselves.
+const PEERS_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// Delay before the next call to the store after a failed one.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Record key of the peers' shared link key. No process has this name.
 const SHARED_KEY: &str = "key";
 const SHARED_KEY_BYTES: usize = 32;
@@ -49,6 +48,8 @@
     BackendChanges(Vec<(String, Observation)>),
     /// The store responds again after an outage.
     StoreReconnected,
+    /// Records of backends that this process has read, for other gateways.
+    PassOn(BackendRecords),
     /// The link key shared by all processes.
     SharedKey(LinkKey),
     /// A peer process that registered itself.
@@ -59,40 +60,51 @@
 pub type Updates = mpsc::UnboundedSender<Update>;
 
 /// Reader of one topic: lists all records first, then reads new ones.
-struct TopicReader {
+pub(crate) struct TopicReader {
     client: StoreClient,
     topic: &'static str,
     next_offset: Option<u64>,
     is_failing: bool,
 }
 
-enum TopicRead {
+pub(crate) enum TopicRead {
+    /// The newest record of each key.
     All(Vec<KeyedRecord>),
-    Changes(Vec<KeyedRecord>),
+    /// New records, each with its offset.
+    Changes(Vec<(u64, KeyedRecord)>),
+}
+
+impl TopicRead {
+    fn into_records(self) -> Vec<KeyedRecord> {
+        match self {
+            TopicRead::All(records) => records,
+            TopicRead::Changes(records) => records.into_iter().map(|(_, record)| record).collect(),
+        }
+    }
 }
 
 impl TopicReader {
-    fn new(store: SocketAddr, topic: &'static str) -> Self {
+    pub(crate) fn new(store: SocketAddr, topic: &'static str) -> Self {
         Self { client: StoreClient::new(store), topic, next_offset: None, is_failing: false }
     }
 
     async fn next(&mut self, wait: Duration) -> Result<TopicRead, StoreError> {
         let Some(from) = self.next_offset else {
-            let Listing { next_offset, records } =
+            let Listing { next_offset, records, pages } =
                 self.client.list_newest(self.topic, STORE_TIMEOUT).await?;
+            log::info!(topic = self.topic, records = records.len(), pages; "topic listed");
             self.next_offset = Some(next_offset);
             return Ok(TopicRead::All(records));
         };
         match self.client.read(self.topic, from, wait, STORE_TIMEOUT).await {
             Ok(batch) => {
                 self.next_offset = Some(batch.next_offset);
-                let decoded = batch.records.into_iter().filter_map(|record| {
+                let decoded = (from..).zip(batch.records).filter_map(|(offset, record)| {
                     let decoded = store::decode_keyed_record(record);
-                    decoded
-                        .inspect_err(
-                            |error| log::warn!(error:% = error; "skipping a malformed record"),
-                        )
-                        .ok()
+                    let decoded = decoded.inspect_err(
+                        |error| log::warn!(error:% = error; "skipping a malformed record"),
+                    );
+                    Some((offset, decoded.ok()?))
                 });
                 Ok(TopicRead::Changes(decoded.collect()))
             }
@@ -105,47 +117,92 @@
         }
     }
 
-    /// Reads until a call succeeds. Returns the records and whether the store was unreachable
-    /// before.
-    async fn next_with_retry(&mut self, wait: Duration) -> (TopicRead, bool) {
-        loop {
-            match self.next(wait).await {
-                Ok(read) => {
-                    let is_reconnected = std::mem::take(&mut self.is_failing);
-                    if is_reconnected {
-                        log::info!(dependency = "store", topic = self.topic; "regained");
-                    }
-                    return (read, is_reconnected);
-                }
-                Err(error) if error.is_store_available() => {
-                    log::info!(topic = self.topic, error:% = error;
-                        "read rejected by the store; listing the topic again");
+    /// Returns the offset of the next record to read, if the topic has been listed.
+    pub(crate) fn position(&self) -> Option<u64> {
+        self.next_offset
+    }
+
+    /// Continues at an offset up to which the records have been received otherwise.
+    pub(crate) fn set_position(&mut self, next_offset: u64) {
+        self.next_offset = Some(next_offset);
+    }
+
+    /// Reads once. Returns the records and whether the store was unreachable before, or `None` if the
+    /// call failed.
+    pub(crate) async fn attempt(&mut self, wait: Duration) -> Option<(TopicRead, bool)> {
+        match self.next(wait).await {
+            Ok(read) => {
+                let is_reconnected = std::mem::take(&mut self.is_failing);
+                if is_reconnected {
+                    log::info!(dependency = "store", topic = self.topic; "regained");
                 }
-                Err(error) => {
-                    if !self.is_failing {
-                        log::warn!(dependency = "store", topic = self.topic, error:% = error;
-                            "lost");
-                    }
-                    self.is_failing = true;
-                    tokio::time::sleep(RETRY_DELAY).await;
+                Some((read, is_reconnected))
+            }
+            Err(error) if error.is_store_available() => {
+                log::info!(topic = self.topic, error:% = error; "read rejected by the store");
+                None
+            }
+            Err(error) => {
+                if !self.is_failing {
+                    log::warn!(dependency = "store", topic = self.topic, error:% = error; "lost");
                 }
+                self.is_failing = true;
+                None
+            }
+        }
+    }
+
+    /// Reads until a call succeeds.
+    async fn next_with_retry(&mut self, wait: Duration) -> TopicRead {
+        loop {
+            if let Some((read, _)) = self.attempt(wait).await {
+                return read;
             }
+            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 }
 
-/// Follows the configuration until the receiver of updates is dropped.
-pub async fn follow_config(store: SocketAddr, updates: Updates) {
+/// Follows the configuration until the receiver of updates is dropped. `outdated` is notified when a
+/// peer knows a newer configuration; `gateways` is the number of live gateways.
+pub async fn follow_config(
+    store: SocketAddr,
+    updates: Updates,
+    outdated: Arc<Notify>,
+    gateways: watch::Receiver<usize>,
+) {
     let mut reader = TopicReader::new(store, names::OPERATOR_TOPIC);
-    while send_configs(&mut reader, &updates).await.is_some() {}
+    loop {
+        let wait = Duration::from_millis(shared_reads::poll_ms(*gateways.borrow()));
+        let sent = tokio::select! {
+            sent = send_configs(&mut reader, &updates, wait) => sent,
+            // The connection of the poll may have become silent. Dropping the call closes it.
+            () = outdated.notified() => {
+                log::info!("a peer knows a newer configuration");
+                send_configs(&mut reader, &updates, Duration::ZERO).await
+            }
+        };
+        match sent {
+            Some(0) => {}
+            Some(_) => tokio::time::sleep(CONFIG_MIN_INTERVAL).await,
+            None => return,
+        }
+    }
 }
 
-/// Reads the configuration once it exists and then at long intervals, until the receiver of updates
-/// is dropped.
-pub async fn follow_engine_figures(store: SocketAddr, updates: Updates) {
+/// Reads the configuration at long intervals while it is `needed`, until the receiver of updates is
+/// dropped.
+pub async fn follow_engine_figures(
+    store: SocketAddr,
+    updates: Updates,
+    mut needed: watch::Receiver<bool>,
+) {
     let mut reader = TopicReader::new(store, names::OPERATOR_TOPIC);
     let mut has_config = false;
-    while let Some(sent) = send_configs(&mut reader, &updates).await {
+    while needed.wait_for(|needed| *needed).await.is_ok() {
+        let Some(sent) = send_configs(&mut reader, &updates, ENGINE_FIGURES_WAIT).await else {
+            return;
+        };
         has_config |= sent > 0;
         if has_config {
             tokio::time::sleep(ENGINE_FIGURES_READ_INTERVAL).await;
@@ -155,9 +212,12 @@
 
 /// Waits for new configurations and sends them. Returns their number, or `None` if the receiver is
 /// dropped.
-async fn send_configs(reader: &mut TopicReader, updates: &Updates) -> Option<usize> {
-    let (read, _) = reader.next_with_retry(CONFIG_READ_WAIT).await;
-    let (TopicRead::All(records) | TopicRead::Changes(records)) = read;
+async fn send_configs(
+    reader: &mut TopicReader,
+    updates: &Updates,
+    wait: Duration,
+) -> Option<usize> {
+    let records = reader.next_with_retry(wait).await.into_records();
     let configs = records.into_iter().filter(|record| record.key == names::CONFIG_KEY);
     let mut sent = 0;
     for config in configs.filter_map(|record| record.value) {
@@ -167,68 +227,57 @@
     Some(sent)
 }
 
-/// Follows the backends until the receiver of updates is dropped.
-pub async fn follow_backends(store: SocketAddr, updates: Updates) {
-    let mut reader = TopicReader::new(store, names::BACKENDS_TOPIC);
-    let decode = |records: Vec<KeyedRecord>| {
-        records.into_iter().map(|record| (record.key.clone(), directory::decode(&record))).collect()
-    };
+/// Registers this process and lists its peers at intervals, until the receiver of updates is dropped.
+///
+/// The peers are listed after the registration: of two processes that start together, the later one to
+/// register finds the other and sends it a hello.
+pub async fn follow_peers(store: SocketAddr, own: Peer, updates: Updates) {
+    let mut reader = TopicReader::new(store, names::PEERS_TOPIC);
+    while !register(&mut reader, &own).await {
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
     loop {
-        let (read, is_reconnected) = reader.next_with_retry(Duration::ZERO).await;
-        let reconnected = is_reconnected.then_some(Update::StoreReconnected);
-        let update = match read {
-            TopicRead::All(records) => Update::Backends(decode(records)),
-            TopicRead::Changes(records) => Update::BackendChanges(decode(records)),
+        let Some(has_key) = send_peers(&mut reader, &updates).await else {
+            return;
         };
-        for update in reconnected.into_iter().chain([update]) {
-            if updates.send(update).is_err() {
-                return;
-            }
+        if !has_key {
+            share_key(&mut reader, &updates).await;
         }
-        tokio::time::sleep(BACKENDS_READ_INTERVAL).await;
+        tokio::time::sleep(PEERS_READ_INTERVAL).await;
+        // After a long partition, peers that were removed are found again.
+        reader.next_offset = None;
     }
 }
 
-/// Registers this process and follows its peers until the receiver of updates is dropped.
-pub async fn follow_peers(store: SocketAddr, own: Peer, updates: Updates) {
-    let mut reader = TopicReader::new(store, names::PEERS_TOPIC);
-    let mut is_registered = false;
+/// Creates the shared key if no other process does. Processes that start together wait for different
+/// times, so that usually one of them creates it.
+async fn share_key(reader: &mut TopicReader, updates: &Updates) {
+    tokio::time::sleep(MAX_KEY_DELAY.mul_f64(rand::random())).await;
+    while let Some(false) = send_peers(reader, updates).await {
+        create_key(reader).await;
+    }
+}
+
+/// Reads the records of the peers and sends them. Returns whether the shared key was among them, or
+/// `None` if the receiver is dropped.
+async fn send_peers(reader: &mut TopicReader, updates: &Updates) -> Option<bool> {
     let mut has_key = false;
-    let mut interval = PEERS_READ_INITIAL_INTERVAL;
-    loop {
-        let (read, _) = reader.next_with_retry(Duration::ZERO).await;
-        let (TopicRead::All(records) | TopicRead::Changes(records)) = read;
-        for record in records {
-            let Some(value) = record.value else {
-                continue;
-            };
-            let update = match record.key.as_str() {
-                SHARED_KEY => LinkKey::try_from(value.as_ref()).map(Update::SharedKey).ok(),
-                _ => Peer::decode(value).map(Update::Peer).ok(),
-            };
-            has_key |= matches!(update, Some(Update::SharedKey(_)));
-            let Some(update) = update else {
-                log::warn!(key = record.key.as_str(); "failed to decode a peer record");
-                continue;
-            };
-            if updates.send(update).is_err() {
-                return;
-            }
-        }
-        if !has_key {
-            create_key(&mut reader).await;
+    for record in reader.next_with_retry(Duration::ZERO).await.into_records() {
+        let Some(value) = record.value else {
             continue;
-        }
-        if !is_registered {
-            is_registered = register(&mut reader, &own).await;
-        }
-        if is_registered {
-            tokio::time::sleep(interval).await;
-            interval = (interval * 2).min(PEERS_READ_MAX_INTERVAL);
-        } else {
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
+        };
+        let update = match record.key.as_str() {
+            SHARED_KEY => LinkKey::try_from(value.as_ref()).map(Update::SharedKey).ok(),
+            _ => Peer::decode(value).map(Update::Peer).ok(),
+        };
+        has_key |= matches!(update, Some(Update::SharedKey(_)));
+        let Some(update) = update else {
+            log::warn!(key = record.key.as_str(); "failed to decode a peer record");
+            continue;
+        };
+        updates.send(update).ok()?;
     }
+    Some(has_key)
 }
 
 async fn create_key(reader: &mut TopicReader) {
--- /dev/null
+++ b/daemon/tests/store_calls.rs
@@ -0,0 +1,112 @@
+//! Calls of many gateways and agents to the store, and what a gateway learns from others: changes of
+//! backends, and a new configuration when its own connection to the store is silent.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use std::time::Duration;
+
+use currantlink_standins::backends::Backend;
+use currantlink_standins::deployment::{
+    self, ClientRequest, Deployment, IDEMPOTENT, KEY, Shape, wait_until,
+};
+use currantlink_standins::relay::Relay;
+
+const GATEWAYS: usize = 10;
+const WINDOW: Duration = Duration::from_secs(4);
+/// Calls a second of all gateways together: four long polls and three reads of the backends.
+const CALLS_PER_S: u64 = 7;
+
+/// Gateways and agents.
+const PROCESSES: u64 = 16;
+/// Records in a page of the stand-in's listings.
+const PAGE_RECORDS: u64 = 5;
+
+fn shape() -> Shape {
+    Shape { gateways: GATEWAYS, ranks: 6, ..Shape::default() }
+}
+
+async fn status_code(deployment: &Deployment, gateway: usize, key: &str) -> u16 {
+    let key = Some(key.to_owned());
+    let request = ClientRequest { key, ..ClientRequest::new("GET", IDEMPOTENT, "probe") };
+    deployment::send_request(deployment.gateways[gateway].callers, &request).await.code()
+}
+
+#[tokio::test]
+async fn calm_deployment() {
+    let (deployment, _directory) = harness::start_serving(shape()).await;
+    // Peers discover each other.
+    tokio::time::sleep(WINDOW).await;
+    let before = deployment.records.requests();
+    tokio::time::sleep(WINDOW).await;
+    let calls = deployment.records.requests() - before;
+    assert!(calls <= CALLS_PER_S * WINDOW.as_secs(), "{calls} calls in {WINDOW:?}");
+}
+
+#[tokio::test]
+async fn common_start() {
+    let (deployment, _directory) = harness::start_serving(shape()).await;
+    tokio::time::sleep(WINDOW).await;
+    // A process registers itself, lists its peers in pages, and reads once more where no key existed.
+    // Gateways list two more topics, one in two pages; some agents list one and claim to lead.
+    let peer_pages = (PROCESSES + 1).div_ceil(PAGE_RECORDS);
+    let most = PROCESSES * (2 + peer_pages) + 3 * 10 + 2 * 6;
+    let most = most + CALLS_PER_S * 2 * WINDOW.as_secs();
+    let calls = deployment.records.requests();
+    assert!(calls <= most, "{calls} calls, {most} allowed");
+}
+
+#[tokio::test]
+async fn leaving_backend() {
+    let shape = Shape { gateways: 4, plain_backends: 2, ..Shape::default() };
+    let (deployment, _directory) = harness::start_serving(shape).await;
+    let spare = Backend::plain("spare");
+    let address = spare.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    deployment.register("spare", "plain", address, "ready");
+    for gateway in 0..4 {
+        let reaches_spare = || async {
+            let runs = spare.runs().len();
+            status_code(&deployment, gateway, KEY).await;
+            spare.runs().len() > runs
+        };
+        wait_until(reaches_spare).await;
+    }
+    deployment.register("spare", "plain", address, "draining");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let runs = spare.runs().len();
+    for request in 0..40 {
+        assert_eq!(status_code(&deployment, request % 4, KEY).await, 200);
+    }
+    assert_eq!(spare.runs().len(), runs);
+}
+
+#[tokio::test]
+async fn silent_connections() {
+    let (mut deployment, _directory) = harness::start_serving(shape()).await;
+    let relay = Relay::new(deployment.store);
+    let relayed = relay.serve("127.0.0.1:0".parse().unwrap()).await.unwrap().to_string();
+    let store = deployment.store.to_string();
+    for gateway in &mut deployment.gateways[1..] {
+        let settings = &gateway.process.settings;
+        let text = std::fs::read_to_string(settings).unwrap().replace(&store, &relayed);
+        std::fs::write(settings, text).unwrap();
+        gateway.process.kill();
+        gateway.process.start().unwrap();
+    }
+    for gateway in 0..GATEWAYS {
+        wait_until(|| async { status_code(&deployment, gateway, KEY).await == 200 }).await;
+    }
+    tokio::time::sleep(WINDOW).await;
+    relay.silence();
+    deployment.configure(5, &["key-two"]);
+    for gateway in 0..GATEWAYS {
+        wait_until(|| async { status_code(&deployment, gateway, "key-two").await == 200 }).await;
+    }
+    let log = |gateway: &deployment::GatewayProcess| {
+        std::fs::read_to_string(gateway.process.log_path()).unwrap()
+    };
+    let told = deployment.gateways.iter().map(log);
+    let told = told.filter(|log| log.contains("a peer knows a newer configuration")).count();
+    assert!(told >= GATEWAYS / 2, "{told} gateways were told by a peer");
+}
