Encode a group's first map as its difference to the map of a new group

No agent knows the map in use of a new group, so each was sent the complete map.

Change: without a base that the receiver knows, a map is encoded as its difference to the one that assigns experts in turn, if that is shorter. The message names the shape, so nothing is assumed about the group.

Tests: large_group first_map and invalid_shape (new; first_map needs the difference, a complete map takes the 200 ms of whole_map).

--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use currantlink_core::fanout::{self, LinkRate};
-use currantlink_core::switch::{Action, ExpertMap, Order, RankState};
+use currantlink_core::switch::{self, Action, ExpertMap, Order, RankState};
 use currantlink_wire::peers::{
-    Arming, Command, ExpertSet, Experts, Prepare, RankChange, RankReport, Receiver, command,
+    Arming, Command, ExpertSet, Experts, MapShape, Prepare, RankChange, RankReport, Receiver,
+    command,
 };
 use prost::Message;
 
@@ -94,13 +95,32 @@
     }
 }
 
+/// Encodes a map as its difference to `base`. Without a base it is encoded as its difference to the map
+/// of a new group or completely, whichever is shorter.
 fn encode_map(version: u64, map: &ExpertMap, base: Option<&VersionedMap>) -> Prepare {
-    let Some((base_version, base)) = base else {
-        let rank = |experts: &Vec<u32>| Experts { experts: experts.clone() };
-        let set = |set: &Vec<Vec<u32>>| ExpertSet { ranks: set.iter().map(rank).collect() };
-        let sets = map.iter().map(set).collect();
-        return Prepare { version, sets, ..Prepare::default() };
+    if let Some((base_version, base)) = base {
+        let changes = changes(map, base);
+        return Prepare { version, base_version: *base_version, changes, ..Prepare::default() };
+    }
+    let rank = |experts: &Vec<u32>| Experts { experts: experts.clone() };
+    let set = |set: &Vec<Vec<u32>>| ExpertSet { ranks: set.iter().map(rank).collect() };
+    let complete = Prepare { version, sets: map.iter().map(set).collect(), ..Prepare::default() };
+    let shape = switch::MapShape::of(map);
+    let Some(new_group) = shape.assign_in_turn() else {
+        return complete;
+    };
+    let in_turn = MapShape {
+        sets: shape.sets as u32,
+        ranks: shape.ranks as u32,
+        experts: shape.experts as u32,
     };
+    let changes = changes(map, &new_group);
+    let difference = Prepare { version, changes, in_turn: Some(in_turn), ..Prepare::default() };
+    if difference.encoded_len() < complete.encoded_len() { difference } else { complete }
+}
+
+/// Returns the experts of each rank that differ between two maps of the same shape.
+fn changes(map: &ExpertMap, base: &ExpertMap) -> Vec<RankChange> {
     let mut changes = Vec::new();
     for (index, (new, old)) in map.iter().zip(base.iter()).enumerate() {
         let pairs = new.iter().zip(old).enumerate();
@@ -109,7 +129,7 @@
         });
         changes.extend(changed);
     }
-    Prepare { version, base_version: *base_version, changes, ..Prepare::default() }
+    changes
 }
 
 /// Encodes the orders of several agents to prepare the same map, with the agent that each message is
@@ -160,14 +180,19 @@
     relayed.collect()
 }
 
-/// Decodes a map. Returns `None` if the map is encoded as the difference to an unknown map.
+/// Decodes a map. Returns `None` if the map is encoded as the difference to an unknown or invalid map.
 fn decode_map(prepare: Prepare, known_maps: &KnownMaps) -> Option<ExpertMap> {
     if !prepare.sets.is_empty() {
         let set = |set: ExpertSet| set.ranks.into_iter().map(|rank| rank.experts).collect();
         return Some(prepare.sets.into_iter().map(set).collect());
     }
-    let (_, base) = known_maps.get(prepare.base_version)?;
-    let mut map = base.as_ref().clone();
+    let mut map = match prepare.in_turn {
+        Some(MapShape { sets, ranks, experts }) => {
+            let (sets, ranks, experts) = (sets as usize, ranks as usize, experts as usize);
+            switch::MapShape { sets, ranks, experts }.assign_in_turn()?
+        }
+        None => known_maps.get(prepare.base_version)?.1.as_ref().clone(),
+    };
     for RankChange { set, rank, experts } in prepare.changes {
         *map.get_mut(set as usize)?.get_mut(rank as usize)? = experts;
     }
--- a/daemon/tests/large_group.rs
+++ b/daemon/tests/large_group.rs
@@ -9,8 +9,9 @@
 use currantlink_core::fanout::{self, LinkRate};
 use currantlink_core::switch::{Action, ExpertMap, Order, RankState};
 use currantlink_daemon::group_leader::Report;
-use currantlink_daemon::orders::{encode_map_orders, encode_report, take_relayed};
-use currantlink_wire::peers::Command;
+use currantlink_daemon::known_maps::KnownMaps;
+use currantlink_daemon::orders::{decode_order, encode_map_orders, encode_report, take_relayed};
+use currantlink_wire::peers::{Command, MapShape, Prepare, command};
 use prost::Message;
 
 const RANKS: usize = 72;
@@ -84,6 +85,33 @@
     assert!(last_ms < 50.0, "the last agent has the difference after {last_ms} ms");
 }
 
+#[test]
+fn first_map() {
+    let in_turn = |rank: usize| (rank..EXPERTS).step_by(RANKS).map(|expert| expert as u32);
+    let set = || (0..RANKS).map(|rank| in_turn(rank).collect()).collect::<Vec<Vec<u32>>>();
+    let mut next: ExpertMap = (0..SETS).map(|_| set()).collect();
+    (0..RANKS).for_each(|rank| next[rank % SETS][rank].push(1 + rank as u32 % 2));
+    let messages = encode_map_orders("g", &orders(next.clone()), None, Some(LINK));
+    for (_, command) in &messages {
+        let order = decode_order(command.clone(), &KnownMaps::default()).unwrap();
+        assert_eq!(order.action, Action::Prepare { version: 2, map: Arc::new(next.clone()) });
+    }
+    let (received, last_ms) = deliver(messages);
+    assert_eq!(received.len(), RANKS - 1);
+    assert!(last_ms < 50.0, "the last agent has the first map after {last_ms} ms");
+}
+
+#[test]
+fn invalid_shape() {
+    let shape = MapShape { sets: u32::MAX, ranks: 1, experts: u32::MAX };
+    for in_turn in [shape, MapShape { ranks: 0, ..shape }, MapShape { sets: 1 << 20, ..shape }] {
+        let prepare = Prepare { version: 2, in_turn: Some(in_turn), ..Prepare::default() };
+        let action = Some(command::Action::Prepare(prepare));
+        let command = Command { action, ..Command::default() };
+        assert!(decode_order(command, &KnownMaps::default()).is_none());
+    }
+}
+
 #[test]
 fn collected_counts() {
     assert!(LINK.needs_collectors(RANKS, SETS * EXPERTS, COUNTS_INTERVAL_MS));
