Let an agent claim leadership in its first 1.5 s

Cause: the clock of a process starts with it, and the last claim was recorded as time 0. No agent claimed before 1.5 s after its start, and then all that had waited did so at once.

Ruled out: a slow store (the configuration was listed in 10 ms at 35.65 s), unknown ranks.

Change: the time of the last claim is absent until there is one. The rule is core/election's Claimant.

Test: election started_process (fails with time 0 for an absent claim).

--- a/core/src/election.rs
+++ b/core/src/election.rs
@@ -13,6 +13,35 @@
 /// Range from which the additional timeout of the other ranks is drawn.
 const COMMON_RANGE_MS: u64 = 1_500;
 
+/// Minimum interval between two claims of one agent.
+const CLAIM_INTERVAL_MS: u64 = 1_500;
+
+/// What an agent knows of the leadership of its group.
+#[derive(Clone, Copy, Debug)]
+pub struct Claimant {
+    /// Rank of its backend.
+    pub rank: u32,
+    /// Random number that it keeps.
+    pub draw: u64,
+    /// Time of the last heartbeat, or since which the rank is known.
+    pub silent_since_ms: u64,
+    /// Time of its last claim, if it has made one.
+    pub claimed_ms: Option<u64>,
+}
+
+impl Claimant {
+    /// Returns whether the group has been without a heartbeat for so long that this agent claims.
+    pub fn is_waiting_over(&self, now_ms: u64) -> bool {
+        now_ms > self.silent_since_ms + claim_timeout_ms(self.rank, self.draw)
+    }
+
+    /// Returns whether a claim is due.
+    pub fn is_claim_due(&self, now_ms: u64) -> bool {
+        let is_repeated = self.claimed_ms.is_some_and(|at_ms| now_ms <= at_ms + CLAIM_INTERVAL_MS);
+        self.is_waiting_over(now_ms) && !is_repeated
+    }
+}
+
 /// Returns the time without a heartbeat after which the agent of a rank claims leadership. `draw` is a
 /// random number that the agent keeps.
 pub fn claim_timeout_ms(rank: u32, draw: u64) -> u64 {
--- a/core/tests/election.rs
+++ b/core/tests/election.rs
@@ -1,7 +1,7 @@
 //! Simulated elections: how many agents claim the leadership of their group, and how long the group
 //! waits for a leader.
 
-use currantlink_core::election::claim_timeout_ms;
+use currantlink_core::election::{Claimant, claim_timeout_ms};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -41,3 +41,14 @@
 fn last_rank() {
     assert!((0..100).all(|draw| claim_timeout_ms(255, draw * 37) < 3_000));
 }
+
+#[test]
+fn started_process() {
+    let claimant = Claimant { rank: 0, draw: 0, silent_since_ms: 50, claimed_ms: None };
+    assert!(!claimant.is_claim_due(450));
+    // The clock starts with the process.
+    assert!(claimant.is_claim_due(451));
+    let again = Claimant { claimed_ms: Some(451), ..claimant };
+    assert!(!again.is_claim_due(1_951));
+    assert!(again.is_claim_due(1_952));
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -146,7 +146,8 @@
     /// Time at which the process exits in any case, once it is stopping.
     exit_at_ms: Option<u64>,
     order_queued_ms: u64,
-    claim_sent_ms: u64,
+    /// Time of the last claim of leadership.
+    claimed_ms: Option<u64>,
     heartbeat_sent_ms: u64,
     report_sent_ms: u64,
     load_sent: Option<(u64, Load)>,
@@ -184,7 +185,7 @@
             claim_draw: rand::random(),
             exit_at_ms: None,
             order_queued_ms: 0,
-            claim_sent_ms: 0,
+            claimed_ms: None,
             heartbeat_sent_ms: 0,
             report_sent_ms: 0,
             load_sent: None,
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::election::Claimant;
+use currantlink_core::fanout;
 use currantlink_core::routes::{ExpertProfile, PoolKey};
 use currantlink_core::switch::{Action, Order};
-use currantlink_core::{election, fanout};
 use currantlink_platform::engine::EngineState;
 use currantlink_platform::names;
 use currantlink_platform::store::StoreClient;
@@ -27,8 +28,6 @@
 /// Number of ranks whose agents know the figures of the engines before they claim leadership. They
 /// claim before all others.
 const FIRST_CLAIMANTS: u32 = 3;
-/// Minimum interval between two claims of one agent.
-const CLAIM_INTERVAL_MS: u64 = 1_500;
 /// Timeout of a claim in the store.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -134,18 +133,18 @@
             self.advance_change().await;
             return;
         }
-        let heartbeat_ms = self.leader.map_or(self.rank_known_ms, |leader| leader.heartbeat_ms);
-        let timeout_ms = election::claim_timeout_ms(rank.rank, self.claim_draw);
-        let is_claiming = now > heartbeat_ms + timeout_ms;
+        let claimant = Claimant {
+            rank: rank.rank,
+            draw: self.claim_draw,
+            silent_since_ms: self.leader.map_or(self.rank_known_ms, |leader| leader.heartbeat_ms),
+            claimed_ms: self.claimed_ms,
+        };
         self.figures_needed.send_if_modified(|needed| {
-            let is_needed = rank.rank < FIRST_CLAIMANTS || is_claiming;
+            let is_needed = rank.rank < FIRST_CLAIMANTS || claimant.is_waiting_over(now);
             std::mem::replace(needed, is_needed) != is_needed
         });
-        if is_claiming
-            && now > self.claim_sent_ms + CLAIM_INTERVAL_MS
-            && self.expert_profile().is_some()
-        {
-            self.claim_sent_ms = now;
+        if claimant.is_claim_due(now) && self.expert_profile().is_some() {
+            self.claimed_ms = Some(now);
             self.claim_leadership(rank.group);
         }
     }
