--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -110,6 +110,9 @@
     }
 
     /// Adds or updates a process. Returns `None` for this process itself.
+    ///
+    /// A record does not replace a process that has been heard: it may be older, and the process of a newer
+    /// one sends a hello message itself.
     pub fn register(
         &mut self,
         now_ms: u64,
@@ -121,7 +124,10 @@
             return None;
         }
         let known = self.members.get_mut(&peer.name);
-        let known = known.filter(|known| known.peer.incarnation == peer.incarnation);
+        let known = known.filter(|known| {
+            let is_heard_instead = origin == Origin::Store && known.heard_ms.is_some();
+            known.peer.incarnation == peer.incarnation || is_heard_instead
+        });
         let is_new = known.is_none();
         let mut member = match known {
             Some(known) => known.clone(),
@@ -146,9 +152,10 @@
                 member.greet_at_ms = now_ms;
             }
         }
-        let name = peer.name.clone();
-        (member.peer, member.address) = (peer, address);
-        self.members.insert(name, member);
+        if origin != Origin::Store || member.heard_ms.is_none() {
+            (member.peer, member.address) = (peer, address);
+        }
+        self.members.insert(member.peer.name.clone(), member);
         Some(Registration { is_new, is_first_hello })
     }
 
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -248,3 +248,15 @@
     };
     assert!(deployment.processes[1..6].iter().all(stopped));
 }
+
+#[test]
+fn outdated_record() {
+    let mut membership = Membership::new(peer(0, Role::Gateway, 1));
+    let origin = Origin::Hello { group: "", wants_response: false, receiver_incarnation: 1 };
+    membership.register(0, peer(1, Role::Gateway, 2), address(1), origin).unwrap();
+    let older = peer(1, Role::Gateway, 1);
+    let registration = membership.register(100, older, address(2), Origin::Store).unwrap();
+    assert!(!registration.is_new);
+    let alive: Vec<_> = membership.alive(100, Role::Gateway).collect();
+    assert_eq!(alive, [(&peer(1, Role::Gateway, 2), address(1))]);
+}
