Bound how long a passed-on read postpones the next one, and count one end of an outage once

By reading, two faults of can keep a leaving backend in use for longer than a read: (1) a gateway postponed its read from the receipt of another's, however old that read was; (2) the end of an outage was told for 2 s and counted anew by whoever had noticed it over 2 s earlier, with the full grace period for removed entries each time, counted from the receipt.

Change: messages carry the age of the read and of the outage's end; the interval counts from the beginning of the read, and an end within 2 s of the known one is the same. Tests: shared_reads slow_reader, one_reconnection (new).

--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -12,6 +12,10 @@
 /// passed on, and short compared with the time for which a leaving backend accepts requests.
 const READ_SPREAD_MS: u64 = 500;
 
+/// Time after an outage of the store for which gateways tell each other of its end. Entries that
+/// expired during the outage reappear in this time.
+pub const RECONNECTED_ANNOUNCE_MS: u64 = 2_000;
+
 /// Time of a long poll for each gateway that polls. All gateways together make some calls per second,
 /// and one of them soon notices that connections to the store have become silent.
 const POLL_PER_GATEWAY_MS: u64 = 250;
@@ -20,10 +24,16 @@
 /// Longest long poll.
 const MAX_POLL_MS: u64 = 10_000;
 
-/// Returns the time from the newest known read of a topic to this process's next read. `draw` is a
-/// uniform random number.
-pub fn read_interval_ms(draw: u64) -> u64 {
-    MIN_READ_INTERVAL_MS + draw % (READ_SPREAD_MS + 1)
+/// Returns the time until this process's next read of a topic. `age_ms` is the time since the newest known
+/// read began, and `draw` a uniform random number.
+pub fn next_read_ms(age_ms: u64, draw: u64) -> u64 {
+    (MIN_READ_INTERVAL_MS + draw % (READ_SPREAD_MS + 1)).saturating_sub(age_ms)
+}
+
+/// Returns whether the end of an outage of the store at `at_ms` is another one than the known one.
+/// Gateways notice the same end at different times.
+pub fn is_other_reconnection(known_at_ms: Option<u64>, at_ms: u64) -> bool {
+    known_at_ms.is_none_or(|known_at_ms| at_ms > known_at_ms + RECONNECTED_ANNOUNCE_MS)
 }
 
 /// Returns the time for which a gateway waits in a read for a new configuration, of `gateways` live
--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -1,7 +1,9 @@
 //! Simulated gateways that follow a topic of the store and pass on what they read: the number of reads,
 //! and how long a gateway lacks a record, with lost messages.
 
-use currantlink_core::shared_reads::{ReadRange, Use, poll_ms, read_interval_ms};
+use currantlink_core::shared_reads::{
+    ReadRange, Use, is_other_reconnection, next_read_ms, poll_ms,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -34,7 +36,7 @@
             let range = ReadRange { from_offset: readers[index].position, next_offset: end };
             readers[index] = Reader {
                 position: end,
-                read_at_ms: now_ms + READ_MS + read_interval_ms(random.random()),
+                read_at_ms: now_ms + READ_MS + next_read_ms(READ_MS, random.random()),
             };
             known_ms[index] = now_ms;
             for other in (0..gateways).filter(|&other| other != index) {
@@ -47,7 +49,7 @@
         messages = later;
         for (_, to, range) in due {
             if range.use_at(Some(readers[to].position)) == Use::New {
-                let read_at_ms = now_ms + read_interval_ms(random.random());
+                let read_at_ms = now_ms + next_read_ms(READ_MS, random.random());
                 readers[to] = Reader { position: range.next_offset, read_at_ms };
                 known_ms[to] = now_ms;
             }
@@ -92,3 +94,20 @@
     assert_eq!(poll_ms(5), 1_250);
     assert_eq!(poll_ms(360), 10_000);
 }
+
+#[test]
+fn slow_reader() {
+    // A read that took a second postpones the next one only by the rest of the interval.
+    for draw in 0..2_000 {
+        assert!(1_000 + next_read_ms(1_000, draw) <= 1_250);
+        assert_eq!(next_read_ms(1_300, draw), 0);
+    }
+}
+
+#[test]
+fn one_reconnection() {
+    assert!(is_other_reconnection(None, 500));
+    // Other gateways notice the same end up to two seconds later.
+    assert!(!is_other_reconnection(Some(1_000), 2_900));
+    assert!(is_other_reconnection(Some(1_000), 30_000));
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -222,7 +222,7 @@
             }
             Update::Backends(_)
             | Update::BackendChanges(_)
-            | Update::StoreReconnected
+            | Update::StoreReconnected { .. }
             | Update::PassOn(_) => {}
         }
     }
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use currantlink_core::fleet::Observation;
-use currantlink_core::shared_reads::{self, ReadRange, Use};
+use currantlink_core::shared_reads::{self, RECONNECTED_ANNOUNCE_MS, ReadRange, Use};
 use currantlink_platform::store::KeyedRecord;
 use currantlink_platform::{directory, names};
 use currantlink_wire::peers::{BackendRecords, StoreRecord};
@@ -12,12 +12,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::clock::now_ms;
 use crate::watcher::{RETRY_DELAY, TopicRead, TopicReader, Update, Updates};
 
-/// Time after an outage of the store for which gateways tell each other of its end. Entries that
-/// expired during the outage reappear in this time.
-const RECONNECTED_ANNOUNCE: Duration = Duration::from_secs(2);
-
 /// Records that other gateways have read.
 pub type ReceivedRecords = mpsc::UnboundedReceiver<BackendRecords>;
 
@@ -25,7 +22,7 @@
 pub async fn follow(store: SocketAddr, updates: Updates, mut received: ReceivedRecords) {
     let reader = TopicReader::new(store, names::BACKENDS_TOPIC);
     let mut follower =
-        BackendFollower { reader, entries: IndexMap::new(), reconnected_at: None, updates };
+        BackendFollower { reader, entries: IndexMap::new(), reconnected_at_ms: None, updates };
     let mut read_at = Instant::now();
     loop {
         let is_open = tokio::select! {
@@ -45,20 +42,20 @@
     reader: TopicReader,
     /// Last observation of each backend. Records that only confirm it are not passed on.
     entries: IndexMap<String, Observation>,
-    reconnected_at: Option<Instant>,
+    reconnected_at_ms: Option<u64>,
     updates: Updates,
 }
 
 impl BackendFollower {
     /// Reads once and schedules the next read. Returns `None` if the receiver of updates is dropped.
     async fn read(&mut self, read_at: &mut Instant) -> Option<()> {
-        let from_offset = self.reader.position();
+        let (from_offset, began_ms) = (self.reader.position(), now_ms());
         let Some((read, is_reconnected)) = self.reader.attempt(Duration::ZERO).await else {
             *read_at = Instant::now() + RETRY_DELAY;
             return Some(());
         };
         if is_reconnected {
-            self.reconnect(Instant::now())?;
+            self.reconnect(now_ms())?;
         }
         match read {
             TopicRead::All(records) => {
@@ -70,11 +67,11 @@
                 let range = from_offset.zip(self.reader.position());
                 let changes = self.apply(records)?;
                 if let Some((from_offset, next_offset)) = range {
-                    self.pass_on(ReadRange { from_offset, next_offset }, changes)?;
+                    self.pass_on(ReadRange { from_offset, next_offset }, changes, began_ms)?;
                 }
             }
         }
-        *read_at = next_read();
+        *read_at = next_read(now_ms().saturating_sub(began_ms));
         Some(())
     }
 
@@ -85,12 +82,13 @@
         if (ReadRange { from_offset, next_offset }).use_at(position) != Use::New {
             return Some(());
         }
-        let reconnected_age = message.reconnected_age_ms.map(Duration::from_millis);
-        if let Some(age) = reconnected_age.filter(|age| *age < RECONNECTED_ANNOUNCE)
-            && self.reconnected_at.is_none_or(|at| at.elapsed() > RECONNECTED_ANNOUNCE)
-        {
-            self.reconnect(Instant::now().checked_sub(age).unwrap_or_else(Instant::now))?;
+        if let Some(age_ms) = message.reconnected_age_ms {
+            let at_ms = now_ms().saturating_sub(age_ms);
+            if shared_reads::is_other_reconnection(self.reconnected_at_ms, at_ms) {
+                self.reconnect(at_ms)?;
+            }
         }
+        let read_age_ms = message.read_age_ms;
         let new = message.records.into_iter().filter(|r| Some(r.offset) >= position);
         let new = new.map(|StoreRecord { offset, key, value }| {
             let value = (!value.is_empty()).then_some(value);
@@ -98,13 +96,13 @@
         });
         self.apply(new)?;
         self.reader.set_position(next_offset);
-        *read_at = next_read();
+        *read_at = next_read(read_age_ms);
         Some(())
     }
 
-    fn reconnect(&mut self, at: Instant) -> Option<()> {
-        self.reconnected_at = Some(at);
-        self.updates.send(Update::StoreReconnected).ok()
+    fn reconnect(&mut self, at_ms: u64) -> Option<()> {
+        self.reconnected_at_ms = Some(at_ms);
+        self.updates.send(Update::StoreReconnected { at_ms }).ok()
     }
 
     /// Applies records, and returns those that change an entry.
@@ -132,12 +130,17 @@
         Some(changed)
     }
 
-    fn pass_on(&self, range: ReadRange, records: Vec<StoreRecord>) -> Option<()> {
-        let age = self.reconnected_at.map(|at| at.elapsed());
-        let reconnected_age_ms =
-            age.filter(|age| *age < RECONNECTED_ANNOUNCE).map(|age| age.as_millis() as u64);
+    fn pass_on(&self, range: ReadRange, records: Vec<StoreRecord>, began_ms: u64) -> Option<()> {
+        let now = now_ms();
+        let age_ms = self.reconnected_at_ms.map(|at_ms| now.saturating_sub(at_ms));
         let ReadRange { from_offset, next_offset } = range;
-        let message = BackendRecords { from_offset, next_offset, records, reconnected_age_ms };
+        let message = BackendRecords {
+            from_offset,
+            next_offset,
+            records,
+            reconnected_age_ms: age_ms.filter(|&age_ms| age_ms < RECONNECTED_ANNOUNCE_MS),
+            read_age_ms: now.saturating_sub(began_ms),
+        };
         self.updates.send(Update::PassOn(message)).ok()
     }
 }
@@ -146,6 +149,7 @@
     (record.key.clone(), directory::decode(record))
 }
 
-fn next_read() -> Instant {
-    Instant::now() + Duration::from_millis(shared_reads::read_interval_ms(rand::random()))
+/// Returns the time of the next read after one that began `age_ms` ago.
+fn next_read(age_ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(shared_reads::next_read_ms(age_ms, rand::random()))
 }
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -323,8 +323,8 @@
         let now = now_ms();
         let changed = match update {
             Update::Config(text) => self.apply_config(&text),
-            Update::StoreReconnected => {
-                self.fleet.store_recovered(now);
+            Update::StoreReconnected { at_ms } => {
+                self.fleet.store_recovered(at_ms);
                 false
             }
             Update::Backends(listing) => self.fleet.replace(listing, now),
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -47,7 +47,10 @@
     /// Changed backends.
     BackendChanges(Vec<(String, Observation)>),
     /// The store responds again after an outage.
-    StoreReconnected,
+    StoreReconnected {
+        /// Time of the first response.
+        at_ms: u64,
+    },
     /// Records of backends that this process has read, for other gateways.
     PassOn(BackendRecords),
     /// The link key shared by all processes.
