Do not pass on the first read of the backends after a listing

The next read only confirms it and it was left out of what is passed on; the other gateways moved past it.

Change: a gateway passes on reads only from the second one after a listing on.

--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -21,8 +21,13 @@
 /// Follows the backends until a channel is closed.
 pub async fn follow(store: SocketAddr, updates: Updates, mut received: ReceivedRecords) {
     let reader = TopicReader::new(store, names::BACKENDS_TOPIC);
-    let mut follower =
-        BackendFollower { reader, entries: IndexMap::new(), reconnected_at_ms: None, updates };
+    let mut follower = BackendFollower {
+        reader,
+        entries: IndexMap::new(),
+        is_listed: false,
+        reconnected_at_ms: None,
+        updates,
+    };
     let mut read_at = Instant::now();
     loop {
         let is_open = tokio::select! {
@@ -42,6 +47,9 @@
     reader: TopicReader,
     /// Last observation of each backend. Records that only confirm it are not passed on.
     entries: IndexMap<String, Observation>,
+    /// Whether the topic has been listed since the last read. A listing may contain records beyond its
+    /// position, so what the next read only confirms may be new to other gateways.
+    is_listed: bool,
     reconnected_at_ms: Option<u64>,
     updates: Updates,
 }
@@ -61,12 +69,14 @@
             TopicRead::All(records) => {
                 let listing: Vec<(String, Observation)> = records.iter().map(decode).collect();
                 self.entries = listing.iter().cloned().collect();
+                self.is_listed = true;
                 self.updates.send(Update::Backends(listing)).ok()?;
             }
             TopicRead::Changes(records) => {
                 let range = from_offset.zip(self.reader.position());
                 let changes = self.apply(records)?;
-                if let Some((from_offset, next_offset)) = range {
+                let is_first = std::mem::take(&mut self.is_listed);
+                if let Some((from_offset, next_offset)) = range.filter(|_| !is_first) {
                     self.pass_on(ReadRange { from_offset, next_offset }, changes, began_ms)?;
                 }
             }
