--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -125,6 +125,11 @@
         self.next_offset
     }
 
+    /// Closes the connection to the store, which may have become silent since the last read.
+    pub(crate) fn disconnect(&mut self) {
+        self.client.disconnect();
+    }
+
     /// Continues at an offset up to which the records have been received otherwise.
     pub(crate) fn set_position(&mut self, next_offset: u64) {
         self.next_offset = Some(next_offset);
--- a/daemon/tests/store_calls.rs
+++ b/daemon/tests/store_calls.rs
@@ -81,22 +81,47 @@
     assert_eq!(spare.runs().len(), runs);
 }
 
-#[tokio::test]
-async fn silent_connections() {
-    let (mut deployment, _directory) = harness::start_serving(shape()).await;
+/// Restarts all gateways but the first `direct` ones with a relay to the store.
+async fn relay_store(deployment: &mut Deployment, direct: usize) -> Relay {
     let relay = Relay::new(deployment.store);
     let relayed = relay.serve("127.0.0.1:0".parse().unwrap()).await.unwrap().to_string();
     let store = deployment.store.to_string();
-    for gateway in &mut deployment.gateways[1..] {
+    for gateway in &mut deployment.gateways[direct..] {
         let settings = &gateway.process.settings;
         let text = std::fs::read_to_string(settings).unwrap().replace(&store, &relayed);
         std::fs::write(settings, text).unwrap();
         gateway.process.kill();
         gateway.process.start().unwrap();
     }
-    for gateway in 0..GATEWAYS {
-        wait_until(|| async { status_code(&deployment, gateway, KEY).await == 200 }).await;
+    for gateway in 0..deployment.gateways.len() {
+        wait_until(|| async { status_code(deployment, gateway, KEY).await == 200 }).await;
+    }
+    relay
+}
+
+#[tokio::test]
+async fn idle_connections() {
+    let shape = Shape { gateways: 6, plain_backends: 2, ..Shape::default() };
+    let (mut deployment, _directory) = harness::start_serving(shape).await;
+    let relay = relay_store(&mut deployment, 0).await;
+    let spare = Backend::plain("spare");
+    let address = spare.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    deployment.register("spare", "plain", address, "ready");
+    tokio::time::sleep(WINDOW).await;
+    relay.silence();
+    deployment.register("spare", "plain", address, "draining");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let runs = spare.runs().len();
+    for request in 0..60 {
+        assert_eq!(status_code(&deployment, request % 6, KEY).await, 200);
     }
+    assert_eq!(spare.runs().len(), runs);
+}
+
+#[tokio::test]
+async fn silent_connections() {
+    let (mut deployment, _directory) = harness::start_serving(shape()).await;
+    let relay = relay_store(&mut deployment, 1).await;
     tokio::time::sleep(WINDOW).await;
     relay.silence();
     deployment.configure(5, &["key-two"]);
