Count no end of an outage where other gateways have passed on every read

Afterwards others passed on their reads, so its own next read came at 15.70 s only, and counted then as the end of the outage. An entry that was removed at 15.0 s was therefore kept for two more seconds, the time for entries that expired in an outage, and a request reached its backend at 17.12 s.

Change: records that another gateway has passed on end the failure of this one's reads without an end of an outage. The state is core/shared_reads Reachability. Test: covered_outage (failed without record_passed_on by construction: the state stays failing).

--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -72,3 +72,27 @@
         }
     }
 }
+
+/// Whether the store responds to this process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reachability {
+    is_failing: bool,
+}
+
+impl Reachability {
+    /// Records a failed call. Returns whether it is the first one.
+    pub fn record_failure(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_failing, true)
+    }
+
+    /// Records a response. Returns whether calls failed before, so that entries may have expired unseen.
+    pub fn record_response(&mut self) -> bool {
+        std::mem::take(&mut self.is_failing)
+    }
+
+    /// Records that another process has passed on all that this one lacked. Its next response is no end
+    /// of an outage. Returns whether calls failed before.
+    pub fn record_passed_on(&mut self) -> bool {
+        std::mem::take(&mut self.is_failing)
+    }
+}
--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -2,7 +2,7 @@
 //! and how long a gateway lacks a record, with lost messages.
 
 use currantlink_core::shared_reads::{
-    ReadRange, Use, is_other_reconnection, next_read_ms, poll_ms,
+    Reachability, ReadRange, Use, is_other_reconnection, next_read_ms, poll_ms,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -111,3 +111,14 @@
     assert!(!is_other_reconnection(Some(1_000), 2_900));
     assert!(is_other_reconnection(Some(1_000), 30_000));
 }
+
+#[test]
+fn covered_outage() {
+    let mut reachability = Reachability::default();
+    assert!(reachability.record_failure());
+    assert!(!reachability.record_failure());
+    assert!(reachability.record_response(), "the end of an outage");
+    reachability.record_failure();
+    reachability.record_passed_on();
+    assert!(!reachability.record_response(), "nothing was missed");
+}
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use currantlink_core::fleet::Observation;
-use currantlink_core::shared_reads;
+use currantlink_core::shared_reads::{self, Reachability};
 use currantlink_platform::error::StoreError;
 use currantlink_platform::names;
 use currantlink_platform::store::{self, KeyedRecord, Listing, StoreClient};
@@ -67,7 +67,7 @@
     client: StoreClient,
     topic: &'static str,
     next_offset: Option<u64>,
-    is_failing: bool,
+    reachability: Reachability,
 }
 
 pub(crate) enum TopicRead {
@@ -88,7 +88,12 @@
 
 impl TopicReader {
     pub(crate) fn new(store: SocketAddr, topic: &'static str) -> Self {
-        Self { client: StoreClient::new(store), topic, next_offset: None, is_failing: false }
+        Self {
+            client: StoreClient::new(store),
+            topic,
+            next_offset: None,
+            reachability: Reachability::default(),
+        }
     }
 
     async fn next(&mut self, wait: Duration) -> Result<TopicRead, StoreError> {
@@ -133,6 +138,9 @@
     /// Continues at an offset up to which the records have been received otherwise.
     pub(crate) fn set_position(&mut self, next_offset: u64) {
         self.next_offset = Some(next_offset);
+        if self.reachability.record_passed_on() {
+            log::info!(dependency = "store", topic = self.topic; "regained");
+        }
     }
 
     /// Reads once. Returns the records and whether the store was unreachable before, or `None` if the
@@ -140,7 +148,7 @@
     pub(crate) async fn attempt(&mut self, wait: Duration) -> Option<(TopicRead, bool)> {
         match self.next(wait).await {
             Ok(read) => {
-                let is_reconnected = std::mem::take(&mut self.is_failing);
+                let is_reconnected = self.reachability.record_response();
                 if is_reconnected {
                     log::info!(dependency = "store", topic = self.topic; "regained");
                 }
@@ -151,10 +159,9 @@
                 None
             }
             Err(error) => {
-                if !self.is_failing {
+                if self.reachability.record_failure() {
                     log::warn!(dependency = "store", topic = self.topic, error:% = error; "lost");
                 }
-                self.is_failing = true;
                 None
             }
         }
