Simplify what came with the shared reads and the membership

- Reachability had two methods with one body; it has one.
- Membership::register cloned a member, changed it and inserted it again for each hello, with the rule for heard processes in two places.
It changes the member in place and states the rule once.
- MapShape moves from switch to a module of its own; its two conversions were written out in orders and are From now.
- Readers::pass_on delivered what others had passed on; it is called deliver.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod least_loaded;
 pub mod loads;
 pub mod map;
+pub mod map_shape;
 pub mod membership;
 pub mod pace;
 pub mod plan;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -11,13 +11,13 @@
 use indexmap::IndexMap;
 
 /// Interval between hello messages from gateway to gateway.
-pub const GATEWAY_INTERVAL_MS: u64 = 500;
+const GATEWAY_INTERVAL_MS: u64 = 500;
 /// Interval between hello messages from a gateway to an agent, which sends its load to live gateways.
-pub const AGENT_INTERVAL_MS: u64 = 1_000;
+const AGENT_INTERVAL_MS: u64 = 1_000;
 /// Interval between hello messages from an agent, which only keep it from being removed.
-pub const KEEP_INTERVAL_MS: u64 = 15_000;
+const KEEP_INTERVAL_MS: u64 = 15_000;
 /// First interval between hello messages to a process that has not responded yet; it doubles.
-pub const FIRST_RETRY_MS: u64 = 500;
+const FIRST_RETRY_MS: u64 = 500;
 /// Number of intervals without a hello message after which a process counts as stopped. It allows for
 /// several lost messages.
 const TIMEOUT_INTERVALS: u64 = 4;
@@ -75,6 +75,22 @@
     retry_ms: u64,
 }
 
+impl Member {
+    /// Creates a process that has not been heard and is greeted at once.
+    fn new(now_ms: u64, peer: Peer, address: SocketAddr) -> Self {
+        Self {
+            peer,
+            address,
+            group: String::new(),
+            heard_ms: None,
+            knows_own: false,
+            known_since_ms: now_ms,
+            greet_at_ms: now_ms,
+            retry_ms: FIRST_RETRY_MS,
+        }
+    }
+}
+
 /// The other processes of the deployment as one process knows them.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -123,26 +139,16 @@
         if peer.name == self.own.name {
             return None;
         }
-        let known = self.members.get_mut(&peer.name);
-        let known = known.filter(|known| {
-            let is_heard_instead = origin == Origin::Store && known.heard_ms.is_some();
-            known.peer.incarnation == peer.incarnation || is_heard_instead
-        });
-        let is_new = known.is_none();
-        let mut member = match known {
-            Some(known) => known.clone(),
-            None => Member {
-                peer: Peer::default(),
-                address,
-                group: String::new(),
-                heard_ms: None,
-                knows_own: false,
-                known_since_ms: now_ms,
-                greet_at_ms: now_ms,
-                retry_ms: FIRST_RETRY_MS,
-            },
+        let is_hello = origin != Origin::Store;
+        let is_superseded = |known: &Member| {
+            known.peer.incarnation != peer.incarnation && (is_hello || known.heard_ms.is_none())
         };
-        let is_hello = matches!(origin, Origin::Hello { .. });
+        let is_new = self.members.get(&peer.name).is_none_or(is_superseded);
+        let name = peer.name.clone();
+        if is_new {
+            self.members.insert(name.clone(), Member::new(now_ms, peer, address));
+        }
+        let member = &mut self.members[&name];
         let is_first_hello = is_hello && member.heard_ms.is_none();
         if let Origin::Hello { group, wants_response, receiver_incarnation } = origin {
             member.heard_ms = Some(now_ms);
@@ -152,10 +158,6 @@
                 member.greet_at_ms = now_ms;
             }
         }
-        if origin != Origin::Store || member.heard_ms.is_none() {
-            (member.peer, member.address) = (peer, address);
-        }
-        self.members.insert(member.peer.name.clone(), member);
         Some(Registration { is_new, is_first_hello })
     }
 
--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -7,7 +7,7 @@
 //! message, its next read starts where it left off.
 
 /// Minimum time from the newest known read of a topic to the next one.
-pub const MIN_READ_INTERVAL_MS: u64 = 750;
+const MIN_READ_INTERVAL_MS: u64 = 750;
 /// Range of the random addition to the interval. It is long compared with the time in which a read is
 /// passed on, and short compared with the time for which a leaving backend accepts requests.
 const READ_SPREAD_MS: u64 = 500;
@@ -85,14 +85,10 @@
         !std::mem::replace(&mut self.is_failing, true)
     }
 
-    /// Records a response. Returns whether calls failed before, so that entries may have expired unseen.
-    pub fn record_response(&mut self) -> bool {
-        std::mem::take(&mut self.is_failing)
-    }
-
-    /// Records that another process has passed on all that this one lacked. Its next response is no end
-    /// of an outage. Returns whether calls failed before.
-    pub fn record_passed_on(&mut self) -> bool {
+    /// Records a response, or that another process has passed on all that this one lacked. Returns
+    /// whether calls failed before. After records that were passed on, the next response is no end of
+    /// an outage in which entries may have expired unseen.
+    pub fn record_contact(&mut self) -> bool {
         std::mem::take(&mut self.is_failing)
     }
 }
--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -117,8 +117,8 @@
     let mut reachability = Reachability::default();
     assert!(reachability.record_failure());
     assert!(!reachability.record_failure());
-    assert!(reachability.record_response(), "the end of an outage");
+    assert!(reachability.record_contact(), "the end of an outage");
     reachability.record_failure();
-    reachability.record_passed_on();
-    assert!(!reachability.record_response(), "nothing was missed");
+    reachability.record_contact();
+    assert!(!reachability.record_contact(), "nothing was missed");
 }
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -246,7 +246,7 @@
     tokio::spawn(watcher::follow_config(store, updates.clone(), outdated, counts));
     tokio::spawn(backend_follower::follow(store, updates.clone(), records));
     tokio::spawn(watcher::follow_peers(store, own, updates));
-    let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: 0 };
+    let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: None };
     let mut control = Control::new(peers, shared, readers);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     loop {
@@ -275,13 +275,13 @@
     gateway_counts: watch::Sender<usize>,
     /// Records of backends that other gateways have read.
     received_records: mpsc::UnboundedSender<BackendRecords>,
-    /// Time of the last notification.
-    notified_ms: u64,
+    /// Time of the last notification, if there was one.
+    notified_ms: Option<u64>,
 }
 
 impl Readers {
-    /// Passes records that another gateway has read on to the task that follows the backends.
-    fn pass_on(&self, records: BackendRecords) {
+    /// Delivers records that another gateway has read to the task that follows the backends.
+    fn deliver(&self, records: BackendRecords) {
         if self.received_records.send(records).is_err() {
             log::error!("records dropped: the task that follows the backends has ended");
         }
@@ -290,8 +290,8 @@
     /// Lets the configuration be read. Peers repeat their messages, so a reader that is still busy is
     /// not interrupted by each.
     fn notify_outdated(&mut self, now_ms: u64) {
-        if now_ms >= self.notified_ms + CONFIG_NOTIFY_INTERVAL_MS {
-            self.notified_ms = now_ms;
+        if self.notified_ms.is_none_or(|at_ms| now_ms >= at_ms + CONFIG_NOTIFY_INTERVAL_MS) {
+            self.notified_ms = Some(now_ms);
             self.config_outdated.notify_one();
         }
     }
@@ -398,7 +398,7 @@
             Some(peer_message::Body::Crashes(Crashes { crashes })) => {
                 self.shared.crashes.learn(crashes);
             }
-            Some(peer_message::Body::BackendRecords(records)) => self.readers.pass_on(records),
+            Some(peer_message::Body::BackendRecords(records)) => self.readers.deliver(records),
             _ => {}
         }
     }
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use currantlink_core::fanout::{self, LinkRate};
-use currantlink_core::switch::{self, Action, ExpertMap, Order, RankState};
+use currantlink_core::map_shape::MapShape;
+use currantlink_core::switch::{Action, ExpertMap, Order, RankState};
 use currantlink_wire::peers::{
-    Arming, Command, ExpertSet, Experts, MapShape, Prepare, RankChange, RankReport, Receiver,
-    command,
+    Arming, Command, ExpertSet, Experts, Prepare, RankChange, RankReport, Receiver, command,
 };
 use prost::Message;
 
@@ -105,17 +105,13 @@
     let rank = |experts: &Vec<u32>| Experts { experts: experts.clone() };
     let set = |set: &Vec<Vec<u32>>| ExpertSet { ranks: set.iter().map(rank).collect() };
     let complete = Prepare { version, sets: map.iter().map(set).collect(), ..Prepare::default() };
-    let shape = switch::MapShape::of(map);
+    let shape = MapShape::of(map);
     let Some(new_group) = shape.assign_in_turn() else {
         return complete;
     };
-    let in_turn = MapShape {
-        sets: shape.sets as u32,
-        ranks: shape.ranks as u32,
-        experts: shape.experts as u32,
-    };
+    let in_turn = Some(shape.into());
     let changes = changes(map, &new_group);
-    let difference = Prepare { version, changes, in_turn: Some(in_turn), ..Prepare::default() };
+    let difference = Prepare { version, changes, in_turn, ..Prepare::default() };
     if difference.encoded_len() < complete.encoded_len() { difference } else { complete }
 }
 
@@ -187,10 +183,7 @@
         return Some(prepare.sets.into_iter().map(set).collect());
     }
     let mut map = match prepare.in_turn {
-        Some(MapShape { sets, ranks, experts }) => {
-            let (sets, ranks, experts) = (sets as usize, ranks as usize, experts as usize);
-            switch::MapShape { sets, ranks, experts }.assign_in_turn()?
-        }
+        Some(shape) => MapShape::from(shape).assign_in_turn()?,
         None => known_maps.get(prepare.base_version)?.1.as_ref().clone(),
     };
     for RankChange { set, rank, experts } in prepare.changes {
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -138,7 +138,7 @@
     /// Continues at an offset up to which the records have been received otherwise.
     pub(crate) fn set_position(&mut self, next_offset: u64) {
         self.next_offset = Some(next_offset);
-        if self.reachability.record_passed_on() {
+        if self.reachability.record_contact() {
             log::info!(dependency = "store", topic = self.topic; "regained");
         }
     }
@@ -148,7 +148,7 @@
     pub(crate) async fn attempt(&mut self, wait: Duration) -> Option<(TopicRead, bool)> {
         match self.next(wait).await {
             Ok(read) => {
-                let is_reconnected = self.reachability.record_response();
+                let is_reconnected = self.reachability.record_contact();
                 if is_reconnected {
                     log::info!(dependency = "store", topic = self.topic; "regained");
                 }
