Log where a request waits when its caller leaves

`caller left` named only the request and its age, so the hypotheses in docs/incidents/callers-left-after-queueing.md could not be told apart. New: the time from dispatch to first event, and the ends of attempts by outcome and next action, which show a spent retry budget.

No decision is changed. Tests: departures (logged_departures), explain (caller_left); both fail without the new fields.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -85,7 +85,19 @@
         };
     }
     if let Some(departure) = last("caller left") {
-        return format!("the caller left after {} ms", value(Some(departure), "after_ms"));
+        let left = format!("the caller left after {} ms", value(Some(departure), "after_ms"));
+        let waited = |key| value(Some(departure), key);
+        return match departure.get("waits_for") {
+            Some("gateway") => format!("{left}, before it was sent to a backend"),
+            Some(waits_for) => format!(
+                "{left}, {} ms after it was sent to {} (send {}, silent: {}), waiting for the {waits_for}",
+                waited("since_sent_ms"),
+                waited("backend"),
+                waited("sends"),
+                waited("is_silent"),
+            ),
+            None => left,
+        };
     }
     let placed = last("request placed");
     match last("request served") {
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -22,7 +22,7 @@
 2026-12-04T10:20:11.101Z INFO currantlink_daemon::placement msg="backends at their rate limits" request=plain-12 wait_ms=640 route=once
 2026-12-04T10:20:11.101Z INFO currantlink_daemon::request_handler msg="request rejected" request=plain-12 outcome="not-run: rate-limited" status=503 after_ms=0
 2026-12-04T10:20:12.301Z INFO currantlink_daemon::placement msg="request placed" request=stream-13 route=resumable backend=model-0 load=5 report_age_ms=15 candidates=12 queue_limit=3 running_limit=12 tried=0 config_version=1
-2026-12-04T10:20:14.300Z INFO currantlink_daemon::departure msg="caller left" request=stream-13 after_ms=1999
+2026-12-04T10:20:14.300Z INFO currantlink_daemon::departure msg="caller left" request=stream-13 after_ms=1999 waits_for=backend backend=model-0 since_sent_ms=1994 sends=1 is_silent=true
 2026-12-04T10:20:15.001Z INFO currantlink_daemon::placement msg="request placed" request=stream-14 route=resumable backend=model-0 load=5 report_age_ms=15 candidates=12 queue_limit=3 running_limit=12 tried=0 config_version=1
 2026-12-04T10:20:15.700Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-14 reason=silent after_ms=699 last_event=4
 2026-12-04T13:02:08.920Z INFO currantlink_daemon::crashes msg="requests like this one crash backends" request=bad-15 fingerprint=2ee491ea0c2f17a5 prompt_parts=f1,c1,bad0 retry_after_ms=599677
@@ -85,7 +85,9 @@
 #[test]
 fn caller_left() {
     let (_, out, _) = explain("stream-13");
-    assert_eq!(out.lines().last(), Some("cause: the caller left after 1999 ms"));
+    let cause = "cause: the caller left after 1999 ms, 1994 ms after it was sent to model-0 (send 1, \
+                 silent: true), waiting for the backend";
+    assert_eq!(out.lines().last(), Some(cause));
 }
 
 #[test]
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -143,6 +143,9 @@
             let next = relay.attempt_ended(outcome, || self.try_spend_retry(call));
             log::info!(request = call.attempt_id.as_str(), outcome:% = outcome, next:% = next,
                 sends = relay.dispatches(); "attempt ended");
+            metrics::counter!("currantlink_attempts_ended_total",
+                "outcome" => outcome.to_string(), "next" => next.to_string())
+            .increment(1);
             match (next, failure) {
                 (NextAction::Retry, _) => {}
                 (NextAction::ForwardFailure, Some(failure)) => {
@@ -189,6 +192,7 @@
         let head = request::encode_head(&self.backend_request(call, member, relay, last_event_id));
         let body = call.body.as_deref().unwrap_or_default();
         relay.record_dispatch();
+        call.progress.record_dispatch(key);
         let sent_at_ms = now_ms();
         let reading = Self::read_own_response(call, &mut upstream, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
@@ -289,7 +293,9 @@
             read = reading => Some(read),
             () = self.silent.until_silent(key), if call.route().repeat.may_run_again() => {
                 let after_ms = call.arrived_at.elapsed().as_millis() as u64;
-                log::info!(request = call.attempt_id.as_str(), after_ms;
+                let snapshot = self.snapshot.load();
+                let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
+                log::info!(request = call.attempt_id.as_str(), backend, after_ms;
                     "attempt abandoned at a silent backend");
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
                 None
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -27,7 +27,7 @@
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
 use crate::crash_ledger::{CrashLedger, RequestKeys};
-use crate::departure::Departure;
+use crate::departure::{Departure, Progress};
 use crate::deployment_settings::GatewaySettings;
 use crate::gateway::SharedState;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
@@ -106,6 +106,8 @@
     /// Whether the caller sent the request again after a rejection or a lost response, and part of
     /// its deadline has already been used.
     pub(crate) is_client_retry: bool,
+    /// How far the request has come, for the log of callers that leave.
+    pub(crate) progress: Progress,
 }
 
 impl Call {
@@ -271,8 +273,11 @@
         let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
         let in_flight =
             self.in_flight.begin(InFlightRequest { attempt_id: attempt_id.clone(), arrived_at });
-        let departure = Departure::watch(attempt_id.clone(), arrived_at);
-        let mut response = match Rc::clone(&self).handle(request, metadata, arrived_at).await {
+        let progress = Progress::default();
+        let departure =
+            Departure::watch(Rc::clone(&self), attempt_id.clone(), arrived_at, progress.clone());
+        let handled = Rc::clone(&self).handle(request, metadata, arrived_at, progress).await;
+        let mut response = match handled {
             Ok(response) => response,
             Err(rejection) => {
                 let after_ms = arrived_at.elapsed().as_millis() as u64;
@@ -296,8 +301,9 @@
         request: Request<Incoming>,
         metadata: RequestMetadata,
         arrived_at: Instant,
+        progress: Progress,
     ) -> Result<Response<ResponseBody>, Rejection> {
-        let call = self.admit(request, metadata, arrived_at).await?;
+        let call = self.admit(request, metadata, arrived_at, progress).await?;
         if !self.accepts(&call) {
             return Err(self.not_run_rejection(&call, NotRunReason::Stopping));
         }
@@ -345,6 +351,7 @@
         request: Request<Incoming>,
         metadata: RequestMetadata,
         arrived_at: Instant,
+        progress: Progress,
     ) -> Result<Call, Rejection> {
         let table = self.snapshot.load().table.clone().ok_or(Rejection::NoConfiguration)?;
         let (parts, body) = request.into_parts();
@@ -388,6 +395,7 @@
             fingerprint,
             urgency: urgency(admitted.priority, is_client_retry),
             is_client_retry,
+            progress,
             table,
         })
     }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -24,6 +24,7 @@
 /// Minimum number of pauses between events. The pace of a backend cannot be measured on a shorter
 /// stream.
 const MIN_PAUSES: u32 = 4;
+const MS_PER_S: f64 = 1_000.0;
 
 /// An event stream that is being relayed to a caller.
 pub struct RelayedStream {
@@ -84,6 +85,12 @@
             match read.unwrap_or(StreamRead::Silent) {
                 StreamRead::Events(events) => {
                     self.gateway.pool.record_heard(key, now_ms());
+                    if !backend_stream.answer.has_events() {
+                        let waited_ms = now_ms() - backend_stream.response.sent_at_ms;
+                        metrics::histogram!("currantlink_first_event_seconds")
+                            .record(waited_ms as f64 / MS_PER_S);
+                    }
+                    self.call.progress.record_event();
                     self.pauses.iter_mut().for_each(|pauses| pauses.record_event(Instant::now()));
                     if backend_stream.answer.record_event(Instant::now()) {
                         self.gateway.record_sound(&self.call);
--- a/daemon/tests/departures.rs
+++ b/daemon/tests/departures.rs
@@ -11,9 +11,15 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-fn has_left(deployment: &Deployment, id: &str) -> bool {
+fn departure_line(deployment: &Deployment, id: &str) -> Option<String> {
     let log = std::fs::read_to_string(deployment.gateways[0].process.log_path()).unwrap();
-    log.lines().any(|line| line.contains("caller left") && line.contains(&format!("request={id} ")))
+    let is_departure =
+        |line: &&str| line.contains("caller left") && line.contains(&format!("request={id} "));
+    log.lines().find(is_departure).map(str::to_owned)
+}
+
+fn has_left(deployment: &Deployment, id: &str) -> bool {
+    departure_line(deployment, id).is_some()
 }
 
 #[tokio::test]
@@ -23,7 +29,7 @@
     deployment.plain_backends[0].queue_faults([Fault::Hang]);
     deployment.model_backends.iter().for_each(|backend| backend.queue_faults([Fault::Hold]));
     let address = deployment.gateways[0].callers;
-    for (path, id) in [(ONCE, "waiting"), (STREAM, "streaming")] {
+    for (path, id, waits_for) in [(ONCE, "waiting", "backend"), (STREAM, "streaming", "event")] {
         let request = tokio::spawn(async move {
             deployment::send_request(address, &ClientRequest::new("POST", path, id)).await;
         });
@@ -32,6 +38,11 @@
             .await;
         request.abort();
         wait_until(|| async { has_left(&deployment, id) }).await;
+        let line = departure_line(&deployment, id).unwrap();
+        let waits_for = format!("waits_for={waits_for} ");
+        for field in [&waits_for, "backend=", "since_sent_ms=", "sends=1", "is_silent=false"] {
+            assert!(line.contains(field), "{field} is missing: {line}");
+        }
     }
     deployment.model_backends.iter().for_each(|backend| backend.release_streams());
     for (path, id) in [(ONCE, "whole"), (STREAM, "whole-stream")] {
