--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -24,7 +24,8 @@
 use crate::output;
 use crate::platform::count_runs;
 
-const SHAPE: Shape = Shape { gateways: 2, ranks: 3, plain_backends: 2, events: 6, grace_s: 3 };
+const SHAPE: Shape =
+    Shape { gateways: 2, ranks: 3, plain_backends: 2, slots: None, events: 6, grace_s: 3 };
 const KINDS: [(&str, &str); 3] = [("POST", RESUMABLE), ("POST", ONCE), ("GET", IDEMPOTENT)];
 /// Time between requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -25,8 +25,14 @@
 
 const GATEWAYS: usize = 3;
 const GRACE_S: u64 = 8;
-const SHAPE: Shape =
-    Shape { gateways: GATEWAYS, ranks: 2, plain_backends: 2, events: 5, grace_s: GRACE_S };
+const SHAPE: Shape = Shape {
+    gateways: GATEWAYS,
+    ranks: 2,
+    plain_backends: 2,
+    slots: None,
+    events: 5,
+    grace_s: GRACE_S,
+};
 const KINDS: [(&str, &str); 3] = [("POST", STREAM), ("POST", ONCE), ("GET", IDEMPOTENT)];
 const CALLERS: u64 = 16;
 /// Longest pause of a stream before its last event.
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
 use crate::lockstep::Lockstep;
 use crate::rank::OrderRefusal;
@@ -105,6 +105,7 @@
     released: watch::Sender<bool>,
     crashes: watch::Sender<u32>,
     restarts: watch::Sender<u32>,
+    slots: Arc<Semaphore>,
 }
 
 #[derive(Default)]
@@ -117,6 +118,7 @@
     active: u32,
     named_rate: Option<String>,
     arrived_at: Vec<Instant>,
+    queued_since: Vec<Instant>,
 }
 
 struct IncomingRequest {
@@ -151,6 +153,7 @@
             released: watch::Sender::default(),
             crashes: watch::Sender::default(),
             restarts: watch::Sender::default(),
+            slots: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
         }
     }
 
@@ -159,6 +162,11 @@
         Self { group: Some((group, rank)), events, ..Self::plain(id) }
     }
 
+    /// Limits how many streams run at once. Further requests wait without a response.
+    pub fn limit_slots(&mut self, slots: usize) {
+        self.slots = Arc::new(Semaphore::new(slots));
+    }
+
     /// Listens on `address` and returns the bound address; port 0 selects a free port.
     ///
     /// # Errors
@@ -274,6 +282,11 @@
         self.state().named_rate = rate.map(str::to_owned);
     }
 
+    /// Returns how long each request in the queue has waited for a slot.
+    pub fn queued_times(&self) -> Vec<Duration> {
+        self.state().queued_since.iter().map(Instant::elapsed).collect()
+    }
+
     /// Returns the number of requests whose client disconnected before the response was complete.
     pub fn client_disconnects(&self) -> u64 {
         self.state().client_disconnects
@@ -336,6 +349,9 @@
             stream.write_all(head.as_bytes()).await?;
             return self.hang(stream).await;
         }
+        let Some(_slot) = self.wait_for_slot(stream).await else {
+            return Ok(false);
+        };
         self.record_run(request, &id);
         if self.group.is_none() {
             self.crash_if_triggered(request).await;
@@ -375,6 +391,21 @@
         }
     }
 
+    /// Waits for a slot, or returns `None` if the client disconnects before.
+    async fn wait_for_slot(&self, stream: &TcpStream) -> Option<SemaphorePermit<'_>> {
+        if let Ok(slot) = self.slots.try_acquire() {
+            return Some(slot);
+        }
+        let since = Instant::now();
+        self.state().queued_since.push(since);
+        let slot = tokio::select! {
+            slot = self.slots.acquire() => slot.ok(),
+            _ = stream.readable() => None,
+        };
+        self.state().queued_since.retain(|&queued_since| queued_since != since);
+        slot
+    }
+
     fn record_run(&self, request: &IncomingRequest, id: &str) {
         let number = |name: &str| request.header(name).and_then(|value| value.parse().ok());
         self.state().runs.push(Run {
@@ -479,7 +510,7 @@
         let armed = rank.armed.map(|(version, step)| json!({ "version": version, "step": step }));
         let body = json!({
             "stage": "combined", "busy": rank.busy, "sequence": rank.orders,
-            "queued": 0, "active": self.state().active, "step": rank.step,
+            "queued": self.state().queued_since.len(), "active": self.state().active, "step": rank.step,
             "map": rank.map_version, "prepared": rank.prepared_version, "armed": armed,
             "held": rank.held_step, "size": rank.size,
             "group": { "name": rank.group, "epoch": rank.epoch, "rank": rank.rank, "state": "open" },
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -56,6 +56,8 @@
     pub ranks: u32,
     /// Number of backends of the plain service.
     pub plain_backends: usize,
+    /// Number of streams that a model backend runs at once, if limited. The platform names 4.
+    pub slots: Option<usize>,
     /// Number of events in a stream.
     pub events: u64,
     /// Time from SIGTERM until a process must have exited.
@@ -64,7 +66,14 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { gateways: 1, ranks: 0, plain_backends: 1, events: 5, grace_s: DEFAULT_GRACE_S }
+        Self {
+            gateways: 1,
+            ranks: 0,
+            plain_backends: 1,
+            slots: None,
+            events: 5,
+            grace_s: DEFAULT_GRACE_S,
+        }
     }
 }
 
@@ -219,7 +228,7 @@
             deployment.plain_backends.push(backend);
         }
         for rank in 0..shape.ranks as usize {
-            deployment.add_model_rank(rank, shape.events).await?;
+            deployment.add_model_rank(rank, shape).await?;
         }
         for index in 0..shape.gateways {
             deployment.add_gateway(index)?;
@@ -227,12 +236,13 @@
         Ok(deployment)
     }
 
-    async fn add_model_rank(&mut self, rank: usize, events: u64) -> io::Result<()> {
+    async fn add_model_rank(&mut self, rank: usize, shape: Shape) -> io::Result<()> {
         let Some(group) = self.group.clone() else {
             return Ok(());
         };
         let id = format!("model-{rank}");
-        let backend = Backend::model(&id, group, rank, events);
+        let mut backend = Backend::model(&id, group, rank, shape.events);
+        shape.slots.into_iter().for_each(|slots| backend.limit_slots(slots));
         let address = backend.serve(LOOPBACK).await?;
         self.keep_registered(&backend, "model", address);
         self.model_backends.push(backend);
