Do not take first attempts with shorter deadlines for returned requests

What callers saw: under overload most requests waited in twice the queue that a new request is allowed, and callers left from there (GONE).

Cause: a request counted as returned if its deadline was over 50 ms below the longest of its route.

Returned requests with long deadlines are now taken for new; ruled out: ids (each attempt has its own), bodies (retries reach other gateways).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod concurrency;
 pub mod config;
 pub mod coordinator;
+pub mod deadlines;
 pub mod demand;
 pub mod durations;
 pub mod election;
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use currantlink_core::concurrency::ConcurrencyLimiter;
+use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
@@ -44,10 +45,6 @@
 const CLIENT_RETRY_URGENCY: u32 = 4;
 const MAX_URGENCY: u32 = 9;
 const MS_PER_S: f64 = 1_000.0;
-/// A request counts as a client retry if its deadline is shorter than the route's longest by more
-/// than this.
-const CLIENT_RETRY_MARGIN_MS: u64 = 50;
-
 /// State of a gateway's traffic thread, which serves callers' requests.
 pub struct Gateway {
     settings: RefCell<Rc<GatewaySettings>>,
@@ -77,7 +74,9 @@
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
-    pub(crate) longest_deadlines_ms: IndexMap<String, u64>,
+    pub(crate) first_deadlines: IndexMap<String, FirstDeadlines>,
+    /// Time at which a request was last rejected.
+    pub(crate) rejected_at_ms: Option<u64>,
 }
 
 /// An admitted request, ready for dispatch.
@@ -282,6 +281,7 @@
             Err(rejection) => {
                 let after_ms = arrived_at.elapsed().as_millis() as u64;
                 let status = rejection.status().as_u16();
+                self.observations.borrow_mut().rejected_at_ms = Some(now_ms());
                 log::info!(request = attempt_id.as_str(), outcome:% = rejection, status,
                     after_ms; "request rejected");
                 metrics::counter!("currantlink_rejections_total", "reason" => rejection.to_string())
@@ -422,14 +422,13 @@
         }
     }
 
-    /// Returns whether a request is a client retry: its deadline is shorter than that of first
-    /// attempts on the same route.
+    /// Returns whether a request returns after a rejection.
     fn is_client_retry(&self, route: &Route, metadata: &RequestMetadata) -> bool {
         let mut observations = self.observations.borrow_mut();
+        let rejected_at_ms = observations.rejected_at_ms;
+        let deadlines = observations.first_deadlines.entry(route.name.clone()).or_default();
         let deadline_ms = metadata.deadline_ms.unwrap_or(route.timeout_ms);
-        let longest_ms = observations.longest_deadlines_ms.entry(route.name.clone()).or_default();
-        *longest_ms = (*longest_ms).max(deadline_ms);
-        deadline_ms + CLIENT_RETRY_MARGIN_MS < *longest_ms
+        deadlines.is_returned(now_ms(), deadline_ms, rejected_at_ms)
     }
 
     /// Spends one retry from the service's retry budget, if the budget allows it.
