Let requests wait in the gateway, not at busy backends

What callers saw: under overload a request waited 1.5 to 2 s in the queue of a backend. When that backend's instance stopped, its caller left while nothing could tell the backend (GONE), or the request was sent on too late.

Cause: one request was admitted to each backend's queue whatever its wait (MIN_QUEUE), two for a returned one (RETURNED_QUEUE_FACTOR), by the mean duration of completed requests. With a slow rank a stream takes 9 s, so one place in the queue is a wait of 0.75 s.

Change: core/turns orders the requests that wait in a gateway and rejects at once what would wait for longer than is of use; core/release estimates durations from the events of streams in progress; a backend's queue is bounded by half of the shortest time in which its silence is established. A request of this gateway that ended since the last report makes room at once.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -1,6 +1,7 @@
 //! Selects the least loaded backend for a request, or rejects the request, from delayed reports.
 
 use crate::fleet::FleetKey;
+use crate::silence::SILENT_AFTER_RANGE_MS;
 
 /// Age at which a load report is discarded.
 pub const MAX_REPORT_AGE_MS: u64 = 1_000;
@@ -11,11 +12,12 @@
 const MAX_INTERVAL_MS: f64 = 500.0;
 /// Part of the target latency reserved for prefill and the first step; the rest allows queueing.
 const PREFILL_RESERVE_MS: f64 = 120.0;
-/// Minimum queue at a backend, so that a free slot is refilled without a round trip.
+/// Minimum queue at a backend that frees a slot within the longest wait there, so that the slot is
+/// refilled without a round trip.
 const MIN_QUEUE: u32 = 1;
-/// Factor on the queue limit for a request that returns after a rejection. The request is already
-/// late, and another rejection would lose it.
-const RETURNED_QUEUE_FACTOR: u32 = 2;
+/// Longest wait at a backend: half of the shortest time in which its silence is established, because
+/// gateways that know the same report may each add a request.
+const MAX_BACKEND_WAIT_MS: f64 = SILENT_AFTER_RANGE_MS.0 / 2.0;
 /// Minimum number of backends that are compared.
 const MIN_SAMPLE: usize = 2;
 /// Range of the delay before a rejected request is retried.
@@ -26,14 +28,17 @@
 /// third of it.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
 
-/// Returns the maximum queue length at which a new request still starts within the target latency.
+/// Returns the maximum queue length at a backend: a request that joins it starts within the target
+/// latency, and before the backend can be found silent.
 ///
-/// A slot becomes free every `mean_duration_ms` / `slots`.
-pub fn queue_limit(target_ms: u64, mean_duration_ms: f64, slots: u32, is_returning: bool) -> u32 {
-    let release_ms = (mean_duration_ms / f64::from(slots.max(1))).max(1.0);
-    let wait_ms = (target_ms as f64 - PREFILL_RESERVE_MS).max(0.0);
-    let limit = ((wait_ms / release_ms) as u32).max(MIN_QUEUE);
-    if is_returning { limit * RETURNED_QUEUE_FACTOR } else { limit }
+/// A slot becomes free every `duration_ms` / `slots`.
+pub fn queue_limit(target_ms: u64, duration_ms: f64, slots: u32) -> u32 {
+    let release_ms = (duration_ms / f64::from(slots.max(1))).max(1.0);
+    if release_ms > MAX_BACKEND_WAIT_MS {
+        return 0;
+    }
+    let wait_ms = (target_ms as f64 - PREFILL_RESERVE_MS).clamp(0.0, MAX_BACKEND_WAIT_MS);
+    ((wait_ms / release_ms) as u32).max(MIN_QUEUE)
 }
 
 /// Returns the delay before a rejected request should be retried.
@@ -87,6 +92,8 @@
     pub own_requests: u32,
     /// Requests that this process dispatched since the report.
     pub sent_since_report: u32,
+    /// Requests of this process that ended since the report.
+    pub ended_since_report: u32,
     /// Latest report, unless it is too old.
     pub report: Option<LoadReport>,
     /// Whether the backend is ejected because of recent failures or latency.
@@ -99,7 +106,12 @@
     /// Returns the estimated number of requests at the backend, running or queued.
     pub fn load(&self) -> u32 {
         let reported = self.report.map_or(0, |r| r.active + r.queued + self.sent_since_report);
-        reported.max(self.own_requests)
+        reported.saturating_sub(self.ended_since_report).max(self.own_requests)
+    }
+
+    /// Returns whether the backend takes another request within the limits.
+    fn has_room(&self, limits: Limits) -> bool {
+        self.load() < limits.max_load(self)
     }
 }
 
@@ -144,10 +156,10 @@
     (backends / gateways.max(1)).max(MIN_SAMPLE)
 }
 
-/// Selects the least loaded of `sample_size` randomly drawn backends, or of all if those are at their
-/// limits.
+/// Selects the least loaded of `sample_size` randomly drawn backends with room, or of all if none of
+/// those has room.
 ///
-/// An ejected backend is selected only if all other backends are full. `draw` is a uniform random
+/// An ejected backend is selected only if no other backend has room. `draw` is a uniform random
 /// number, which draws the sample and breaks ties.
 pub fn choose(candidates: &[Candidate], limits: Limits, sample_size: usize, draw: u64) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.is_serving);
@@ -156,17 +168,20 @@
         return if candidates.is_empty() { Choice::NoBackend } else { Choice::Forming };
     }
     let (mut ejected, mut healthy): (Vec<&Candidate>, Vec<&Candidate>) =
-        usable.into_iter().partition(|c| c.ejected);
+        usable.iter().partition(|c| c.ejected);
     shuffle(&mut healthy, draw);
     shuffle(&mut ejected, draw);
+    let with_room = |candidates: &[&Candidate]| -> Option<FleetKey> {
+        let has_room = candidates.iter().filter(|c| c.has_room(limits));
+        least_loaded(&has_room.copied().collect::<Vec<_>>()).map(|candidate| candidate.key)
+    };
     let sample = &healthy[..sample_size.min(healthy.len())];
-    let best = [least_loaded(sample), least_loaded(&healthy), least_loaded(&ejected)];
-    let has_capacity = |c: &&Candidate| c.load() < limits.max_load(c);
-    if let Some(best) = best.into_iter().flatten().find(has_capacity) {
-        return Choice::Send(best.key);
+    let chosen = with_room(sample).or_else(|| with_room(&healthy)).or_else(|| with_room(&ejected));
+    if let Some(key) = chosen {
+        return Choice::Send(key);
     }
-    let excess = |c: &Candidate| c.load() + 1 - limits.max_load(c);
-    let excess = best.into_iter().flatten().map(excess).min();
+    let excess = |c: &Candidate| (c.load() + 1).saturating_sub(limits.max_load(c));
+    let excess = usable.iter().map(|candidate| excess(candidate)).min();
     excess.map_or(Choice::NoBackend, |excess| Choice::Full { excess })
 }
 
--- /dev/null
+++ b/core/src/turns.rs
@@ -0,0 +1,134 @@
+//! Order in which requests that wait in a gateway are sent to backends.
+//!
+//! Requests wait here and not at backends, because a backend that stops cannot be told that a caller
+//! has left. The queue cannot stand: a request is rejected as soon as it is expected to wait for
+//! longer than is of use to its caller.
+
+use indexmap::IndexMap;
+
+/// Longest wait of a request that returns after a rejection. It is late, but a second rejection loses
+/// it.
+const RETURNED_WAIT_MS: u64 = 600;
+/// Longest wait of a request that a backend has failed. Callers leave two seconds after the last
+/// event, of which the loss of the backend has used up a part.
+const MOVED_WAIT_MS: u64 = 1_500;
+/// One in this many requests that are sent is one that has returned, if there are any. All others
+/// are new while new ones wait, because those can still be on time.
+const RETURNED_PERIOD: u32 = 8;
+
+/// Key of a waiting request; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TurnKey(u64);
+
+/// How a request came to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Origin {
+    /// A backend had it and failed or stopped.
+    Moved,
+    /// It arrived for the first time.
+    New,
+    /// It returned after a rejection.
+    Returned,
+}
+
+/// A request that waits for a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// How it came to wait.
+    pub origin: Origin,
+    /// Urgency class; lower classes are sent first.
+    pub urgency: u8,
+    /// Time at which it began to wait.
+    pub since_ms: u64,
+    /// Time after which it is rejected.
+    pub until_ms: u64,
+}
+
+impl Waiting {
+    /// Creates the entry of a request that begins to wait.
+    ///
+    /// `left_ms` is how much later it can be sent and still be on time.
+    pub fn new(origin: Origin, urgency: u8, now_ms: u64, left_ms: u64) -> Self {
+        let wait_ms = match origin {
+            Origin::Moved => MOVED_WAIT_MS,
+            Origin::New => left_ms,
+            Origin::Returned => RETURNED_WAIT_MS,
+        };
+        Self { origin, urgency, since_ms: now_ms, until_ms: now_ms + wait_ms }
+    }
+
+    /// Returns whether more than half of its time to wait is over.
+    fn is_old(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.since_ms) > self.until_ms.saturating_sub(now_ms)
+    }
+}
+
+/// The requests of one service that wait in this gateway.
+#[derive(Clone, Debug, Default)]
+pub struct WaitQueue {
+    waiting: IndexMap<TurnKey, Waiting>,
+    last_key: u64,
+    sent: u32,
+}
+
+impl WaitQueue {
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Adds a request, or returns `None` if it would wait for longer than it can.
+    ///
+    /// `interval_ms` is the expected time between two requests that are sent from this queue.
+    pub fn join(&mut self, now_ms: u64, request: Waiting, interval_ms: f64) -> Option<TurnKey> {
+        let ahead = self.waiting.values().filter(|other| other.origin <= request.origin).count();
+        let wait_ms = (ahead + 1) as f64 * interval_ms;
+        if now_ms as f64 + wait_ms > request.until_ms as f64 {
+            return None;
+        }
+        self.last_key += 1;
+        let key = TurnKey(self.last_key);
+        self.waiting.insert(key, request);
+        Some(key)
+    }
+
+    /// Returns the request whose turn it is.
+    ///
+    /// Within a class it is the one that has waited longest. If new requests wait for long, there are
+    /// more than can be sent in time: the one that came last is then the most certain to be on time.
+    pub fn next(&self, now_ms: u64) -> Option<TurnKey> {
+        let is_returned_turn = self.sent % RETURNED_PERIOD == RETURNED_PERIOD - 1;
+        let mut new = self.waiting.values().filter(|request| request.origin == Origin::New);
+        let is_overloaded = new.any(|request| request.is_old(now_ms));
+        let rank = |(key, request): &(&TurnKey, &Waiting)| {
+            let origin = match request.origin {
+                Origin::Moved => 0,
+                Origin::Returned if is_returned_turn => 1,
+                Origin::New => 2,
+                Origin::Returned => 3,
+            };
+            let order = match request.origin {
+                Origin::New if is_overloaded => u64::MAX - key.0,
+                Origin::Moved | Origin::New | Origin::Returned => key.0,
+            };
+            (origin, request.urgency, order)
+        };
+        self.waiting.iter().min_by_key(rank).map(|(&key, _)| key)
+    }
+
+    /// Removes a request that was sent to a backend.
+    pub fn record_sent(&mut self, key: TurnKey) {
+        self.remove(key);
+        self.sent = self.sent.wrapping_add(1);
+    }
+
+    /// Removes a request that waits no longer.
+    pub fn remove(&mut self, key: TurnKey) {
+        self.waiting.shift_remove(&key);
+    }
+}
--- /dev/null
+++ b/core/tests/turns.rs
@@ -0,0 +1,81 @@
+//! Order and admission of the requests that wait in a gateway.
+
+use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
+
+const LEFT_MS: u64 = 280;
+const INTERVAL_MS: f64 = 10.0;
+
+fn waiting(origin: Origin, now_ms: u64) -> Waiting {
+    Waiting::new(origin, 5, now_ms, LEFT_MS)
+}
+
+fn join(queue: &mut WaitQueue, origin: Origin, now_ms: u64) -> Option<TurnKey> {
+    queue.join(now_ms, waiting(origin, now_ms), INTERVAL_MS)
+}
+
+/// Sends all waiting requests and returns them in this order.
+fn sent(queue: &mut WaitQueue, now_ms: u64) -> Vec<TurnKey> {
+    std::iter::from_fn(|| {
+        let key = queue.next(now_ms)?;
+        queue.record_sent(key);
+        Some(key)
+    })
+    .collect()
+}
+
+#[test]
+fn moved_first() {
+    let mut queue = WaitQueue::default();
+    let origins = [Origin::Returned, Origin::New, Origin::Moved, Origin::New];
+    let keys = origins.map(|origin| join(&mut queue, origin, 0).unwrap());
+    assert_eq!(sent(&mut queue, 1), [keys[2], keys[1], keys[3], keys[0]]);
+}
+
+#[test]
+fn urgent_first() {
+    let mut queue = WaitQueue::default();
+    let usual = join(&mut queue, Origin::New, 0).unwrap();
+    let urgent = Waiting { urgency: 1, ..waiting(Origin::New, 0) };
+    let urgent = queue.join(0, urgent, INTERVAL_MS).unwrap();
+    assert_eq!(sent(&mut queue, 1), [urgent, usual]);
+}
+
+#[test]
+fn newest_under_overload() {
+    let mut queue = WaitQueue::default();
+    let old = join(&mut queue, Origin::New, 0).unwrap();
+    let new = join(&mut queue, Origin::New, LEFT_MS / 2).unwrap();
+    assert_eq!(queue.next(LEFT_MS / 2), Some(old));
+    assert_eq!(sent(&mut queue, LEFT_MS / 2 + 2), [new, old]);
+}
+
+#[test]
+fn rejected_at_once() {
+    let mut queue = WaitQueue::default();
+    let joined = (0..100).filter(|_| join(&mut queue, Origin::New, 0).is_some()).count();
+    assert_eq!(joined, 28, "as many as are sent within the time that is left");
+    assert!(join(&mut queue, Origin::Moved, 0).is_some(), "new requests do not delay it");
+    let late = Waiting::new(Origin::New, 5, 0, 0);
+    assert_eq!(queue.join(0, late, INTERVAL_MS), None, "it cannot be on time");
+}
+
+#[test]
+fn stopped_backends() {
+    let mut queue = WaitQueue::default();
+    let request = waiting(Origin::New, 0);
+    assert_eq!(queue.join(0, request, 5_000.0), None, "nothing is sent for seconds");
+}
+
+#[test]
+fn returned_share() {
+    let mut queue = WaitQueue::default();
+    let returned: Vec<_> = (0..10).map(|_| join(&mut queue, Origin::Returned, 0)).collect();
+    let mut count = 0;
+    for now_ms in 0..80 {
+        join(&mut queue, Origin::New, now_ms);
+        let key = queue.next(now_ms).unwrap();
+        queue.record_sent(key);
+        count += u32::from(returned.contains(&Some(key)));
+    }
+    assert_eq!(count, 10, "one in eight while new requests keep coming");
+}
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -116,7 +116,7 @@
                 return Err(self.deadline_rejection(call, relay));
             }
             self.check_suspicion(call, relay)?;
-            let placement = match self.place(call, tried) {
+            let placement = match self.place_in_turn(call, relay, tried).await {
                 Ok(placement) => placement,
                 Err(_) if relay.may_have_run() => return Err(Rejection::ResponseLost),
                 Err(rejection) => return Err(rejection),
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::stop::StopSignals;
 use crate::telemetry;
 use crate::threads::control_thread;
+use crate::turns;
 use crate::watcher::{self, Update};
 
 /// Interval of periodic tasks, and delay after a failed receive.
@@ -114,6 +115,7 @@
     tokio::task::spawn_local(accepting);
     tokio::task::spawn_local(evict_stale(Rc::clone(&gateway)));
     tokio::task::spawn_local(watch_backends(Rc::clone(&gateway)));
+    tokio::task::spawn_local(turns::wake_waiting(Rc::clone(&gateway)));
     signals.next().await;
     let stopped_at = Instant::now();
     // The grace period may have changed since the file was last read.
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -2,6 +2,7 @@
 //!
 //! Picks a backend for a request, or rejects the request with a retry delay.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use currantlink_core::concurrency::StreamPauses;
@@ -9,6 +10,7 @@
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
 
 use currantlink_core::rate_limit::Permit;
+use currantlink_core::release::StreamPace;
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
@@ -16,6 +18,7 @@
 
 /// Maximum share by which the time until a rate limit takes a request is extended at random.
 const MAX_RATE_JITTER: f64 = 0.25;
+const MS_PER_S: f64 = 1_000.0;
 
 /// Backends that are eligible for a request.
 struct CandidateSet {
@@ -27,6 +30,35 @@
     rate_wait_ms: Option<u64>,
 }
 
+/// A stream that has events; its end is recorded when dropped.
+pub struct StreamInProgress {
+    gateway: Rc<Gateway>,
+    service: String,
+}
+
+impl Drop for StreamInProgress {
+    fn drop(&mut self) {
+        self.gateway.with_pace(&self.service, StreamPace::end_stream);
+    }
+}
+
+/// Why no backend was selected.
+pub enum PlacementError {
+    /// All backends that were compared are at their limits.
+    Full(FullBackends),
+    /// No backend can take the request.
+    Rejected(Rejection),
+}
+
+/// What was known of backends that are all at their limits, for the log.
+pub struct FullBackends {
+    least_load: Option<u32>,
+    slots: u32,
+    limits: Limits,
+    excess: u32,
+    candidates: usize,
+}
+
 /// Backend selected for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Placement {
@@ -42,18 +74,17 @@
     /// # Errors
     ///
     /// Fails if all backends are full, their groups are forming, or none is left to try.
-    pub(crate) fn place(&self, call: &Call, tried: &[FleetKey]) -> Result<Placement, Rejection> {
+    pub(crate) fn place(
+        &self,
+        call: &Call,
+        tried: &[FleetKey],
+    ) -> Result<Placement, PlacementError> {
         let now = now_ms();
         let CandidateSet { candidates, is_capped, rate_wait_ms } =
             self.candidate_set(call, tried, now);
         let slots = candidates.first().map_or(1, |candidate| candidate.slots);
-        let target_ms = call.route().target_ms;
-        let queue_limit = least_loaded::queue_limit(
-            target_ms,
-            self.mean_duration_ms(call),
-            slots,
-            call.is_client_retry,
-        );
+        let duration_ms = self.duration_ms(call, now);
+        let queue_limit = least_loaded::queue_limit(call.route().target_ms, duration_ms, slots);
         let limits = Limits { running: self.running_limit(call, now), queued: queue_limit };
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
@@ -68,31 +99,43 @@
                 let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
-                    running_limit, tried = tried.len(), config_version = call.table.version();
+                    running_limit, tried = tried.len(), returned = call.is_client_retry,
+                    waited_ms = call.arrived_at.elapsed().as_millis() as u64, config_version = call.table.version();
                     "request placed");
                 Ok(Placement { key, running: mean_running(&candidates) })
             }
-            Choice::Full { excess } => {
-                let least_load = candidates.iter().map(Candidate::load).min();
-                log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
-                    least_load, slots, queue_limit, running_limit, excess,
-                    candidates = candidates.len(), returned = call.is_client_retry,
-                    config_version = call.table.version();
-                    "backends full");
-                Err(self.not_run_rejection(call, NotRunReason::Full))
-            }
+            Choice::Full { excess } => Err(PlacementError::Full(FullBackends {
+                least_load: candidates.iter().map(Candidate::load).min(),
+                slots,
+                limits,
+                excess,
+                candidates: candidates.len(),
+            })),
             Choice::Forming => {
                 let ages = candidates.iter().filter_map(|c| c.report).map(|r| r.age_ms(now));
                 log::info!(request = call.attempt_id.as_str(), candidates = candidates.len(),
                     report_age_ms = ages.max(); "all backend groups are forming or stalled");
-                Err(self.not_run_rejection(call, NotRunReason::Forming))
-            }
-            Choice::NoBackend => {
-                Err(self.no_backend_rejection(call, tried, is_capped, rate_wait_ms))
+                Err(PlacementError::Rejected(self.not_run_rejection(call, NotRunReason::Forming)))
             }
+            Choice::NoBackend => Err(PlacementError::Rejected(self.no_backend_rejection(
+                call,
+                tried,
+                is_capped,
+                rate_wait_ms,
+            ))),
         }
     }
 
+    /// Rejects a request because all backends are full.
+    pub(crate) fn full_rejection(&self, call: &Call, full: FullBackends) -> Rejection {
+        let FullBackends { least_load, slots, limits, excess, candidates } = full;
+        log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
+            least_load, slots, queue_limit = limits.queued, running_limit = limits.running, excess,
+            candidates, returned = call.is_client_retry, config_version = call.table.version();
+            "backends full");
+        self.not_run_rejection(call, NotRunReason::Full)
+    }
+
     fn no_backend_rejection(
         &self,
         call: &Call,
@@ -138,13 +181,13 @@
             }
             let report = self.load_reports.get(member.announcement.address);
             let report = report.filter(|r| r.age_ms(now) < MAX_REPORT_AGE_MS);
-            let (own_requests, sent_since_report) =
-                self.pool.request_counts(key, report.map_or(now, |r| r.received_at_ms));
+            let counts = self.pool.request_counts(key, report.map_or(now, |r| r.received_at_ms));
             set.candidates.push(Candidate {
                 key,
                 slots: member.announcement.slots,
-                own_requests,
-                sent_since_report,
+                own_requests: counts.in_flight,
+                sent_since_report: counts.sent,
+                ended_since_report: counts.ended,
                 report,
                 ejected: observations.health.is_ejected(now, key),
                 local: member.announcement.failure_domain == domain,
@@ -173,9 +216,57 @@
         pace.record_stream(now_ms(), pauses, engine);
     }
 
-    fn mean_duration_ms(&self, call: &Call) -> f64 {
+    /// Returns the expected duration of a request: for streams at the current pace of the engines, for
+    /// others the mean of recent ones.
+    fn duration_ms(&self, call: &Call, now: u64) -> f64 {
         let observations = self.observations.borrow();
-        observations.durations.get(&call.service().name).copied().unwrap_or_default().mean_ms()
+        let name = &call.service().name;
+        match &call.service().engine {
+            Some(engine) => {
+                let pace = observations.stream_pace.get(name).copied().unwrap_or_default();
+                pace.duration_ms(now, engine)
+            }
+            None => observations.durations.get(name).copied().unwrap_or_default().mean_ms(),
+        }
+    }
+
+    /// Returns the expected time between two ends of this gateway's requests to a service, which are
+    /// when it can send another one while all backends are full.
+    pub(crate) fn release_interval_ms(&self, call: &Call) -> f64 {
+        let now = now_ms();
+        let CandidateSet { candidates, .. } = self.candidate_set(call, &[], now);
+        let duration_ms = self.duration_ms(call, now);
+        let own_requests: u32 = candidates.iter().map(|candidate| candidate.own_requests).sum();
+        let slots: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
+        let share = slots / self.snapshot.load().gateway_count.max(1) as u32;
+        duration_ms / f64::from(own_requests.max(share).max(1))
+    }
+
+    /// Returns the time in which most requests to a service have their first event.
+    pub(crate) fn start_ms(&self, call: &Call) -> f64 {
+        self.with_pace(&call.service().name, |pace| pace.start_ms())
+    }
+
+    /// Records the first event of a stream, `start` after its dispatch.
+    pub(crate) fn record_start(self: &Rc<Self>, call: &Call, start: Duration) -> StreamInProgress {
+        metrics::histogram!("currantlink_first_event_seconds").record(start.as_secs_f64());
+        let service = call.service().name.clone();
+        self.with_pace(&service, |pace| {
+            pace.record_start(start.as_secs_f64() * MS_PER_S);
+            pace.begin_stream();
+        });
+        StreamInProgress { gateway: Rc::clone(self), service }
+    }
+
+    /// Records an event of a stream, and the pause before it if there was an earlier one.
+    pub(crate) fn record_event(&self, call: &Call, pause: Option<Duration>) {
+        let pause_ms = pause.map(|pause| pause.as_secs_f64() * MS_PER_S);
+        self.with_pace(&call.service().name, |pace| pace.record_event(now_ms(), pause_ms));
+    }
+
+    fn with_pace<R>(&self, service: &str, update: impl FnOnce(&mut StreamPace) -> R) -> R {
+        let mut observations = self.observations.borrow_mut();
+        update(observations.stream_pace.entry(service.to_owned()).or_default())
     }
 
     /// Creates a rejection for a request that no backend has run.
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -7,7 +7,9 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_platform::response::KeepAlive;
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 
+use crate::clock::now_ms;
 use crate::upstream::Upstream;
 
 /// Margin before a backend's idle timeout within which a connection is not reused: the backend may
@@ -19,13 +21,28 @@
 
 /// Idle connections and in-flight requests, by backend.
 #[derive(Clone, Default)]
-pub struct ConnectionPool(Rc<RefCell<IndexMap<FleetKey, BackendState>>>);
+pub struct ConnectionPool {
+    backends: Rc<RefCell<IndexMap<FleetKey, BackendState>>>,
+    changed: Rc<Notify>,
+}
+
+/// This process's requests at a backend.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestCounts {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that were sent since the time in question.
+    pub sent: u32,
+    /// Requests that ended since the time in question.
+    pub ended: u32,
+}
 
 #[derive(Default)]
 struct BackendState {
     idle: Vec<(Upstream, Instant)>,
     in_flight: u32,
     sent_at_ms: Vec<u64>,
+    ended_at_ms: Vec<u64>,
     heard_at_ms: u64,
 }
 
@@ -37,16 +54,18 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        if let Some(backend) = self.pool.0.borrow_mut().get_mut(&self.key) {
+        if let Some(backend) = self.pool.backends.borrow_mut().get_mut(&self.key) {
             backend.in_flight -= 1;
+            backend.ended_at_ms.push(now_ms());
         }
+        self.pool.changed.notify_one();
     }
 }
 
 impl InFlightGuard {
     /// Takes an idle connection that is still usable, if any.
     pub fn take_idle(&self) -> Option<Upstream> {
-        let mut backends = self.pool.0.borrow_mut();
+        let mut backends = self.pool.backends.borrow_mut();
         let backend = backends.get_mut(&self.key)?;
         let now = Instant::now();
         while let Some((upstream, usable_until)) = backend.idle.pop() {
@@ -66,7 +85,7 @@
 impl ConnectionPool {
     /// Counts a request that is about to be sent to a backend.
     pub fn begin_request(&self, key: FleetKey, now_ms: u64) -> InFlightGuard {
-        let mut backends = self.0.borrow_mut();
+        let mut backends = self.backends.borrow_mut();
         let backend = backends.entry(key).or_default();
         backend.in_flight += 1;
         backend.sent_at_ms.push(now_ms);
@@ -80,46 +99,56 @@
             KeepAlive::Timeout(timeout) => timeout.saturating_sub(IDLE_TIMEOUT_MARGIN),
             KeepAlive::Unspecified => UNADVERTISED_IDLE_LIFETIME,
         };
-        if let Some(backend) = self.0.borrow_mut().get_mut(&key) {
+        if let Some(backend) = self.backends.borrow_mut().get_mut(&key) {
             backend.idle.push((upstream, Instant::now() + lifetime));
         }
     }
 
-    /// Returns the number of this process's requests in flight at a backend, and the number of
-    /// requests sent to the backend since `since_ms`.
+    /// Returns the number of this process's requests in flight at a backend, and of those that were
+    /// sent there or ended since `since_ms`.
     ///
-    /// Send times before `since_ms` are discarded.
-    pub fn request_counts(&self, key: FleetKey, since_ms: u64) -> (u32, u32) {
-        let mut backends = self.0.borrow_mut();
+    /// Times before `since_ms` are discarded.
+    pub fn request_counts(&self, key: FleetKey, since_ms: u64) -> RequestCounts {
+        let mut backends = self.backends.borrow_mut();
         let Some(backend) = backends.get_mut(&key) else {
-            return (0, 0);
+            return RequestCounts::default();
         };
         backend.sent_at_ms.retain(|&at_ms| at_ms >= since_ms);
-        (backend.in_flight, backend.sent_at_ms.len() as u32)
+        backend.ended_at_ms.retain(|&at_ms| at_ms >= since_ms);
+        RequestCounts {
+            in_flight: backend.in_flight,
+            sent: backend.sent_at_ms.len() as u32,
+            ended: backend.ended_at_ms.len() as u32,
+        }
+    }
+
+    /// Returns what is notified when a request of this process ends.
+    pub fn changed(&self) -> Rc<Notify> {
+        Rc::clone(&self.changed)
     }
 
     /// Records that bytes of a response have arrived from a backend.
     pub fn record_heard(&self, key: FleetKey, now_ms: u64) {
-        if let Some(backend) = self.0.borrow_mut().get_mut(&key) {
+        if let Some(backend) = self.backends.borrow_mut().get_mut(&key) {
             backend.heard_at_ms = now_ms;
         }
     }
 
     /// Returns when bytes of a response last arrived from a backend, or 0 if none have.
     pub fn heard_at_ms(&self, key: FleetKey) -> u64 {
-        self.0.borrow().get(&key).map_or(0, |backend| backend.heard_at_ms)
+        self.backends.borrow().get(&key).map_or(0, |backend| backend.heard_at_ms)
     }
 
     /// Returns the number of this process's requests in flight at a backend. Each uses a separate
     /// connection.
     pub fn in_flight(&self, key: FleetKey) -> u32 {
-        self.0.borrow().get(&key).map_or(0, |backend| backend.in_flight)
+        self.backends.borrow().get(&key).map_or(0, |backend| backend.in_flight)
     }
 
     /// Closes expired idle connections and removes backends for which `known` returns false.
     pub fn evict(&self, known: impl Fn(FleetKey) -> bool) {
         let now = Instant::now();
-        self.0.borrow_mut().retain(|&key, backend| {
+        self.backends.borrow_mut().retain(|&key, backend| {
             backend.idle.retain(|(_, usable_until)| now < *usable_until);
             known(key) || backend.in_flight > 0
         });
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -12,6 +12,7 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::health::Health;
 use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
+use currantlink_core::release::StreamPace;
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -39,6 +40,7 @@
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
 use crate::silent::SilentBackends;
 use crate::stream_relay::{self, RelayedStream};
+use crate::turns::Turns;
 use crate::upstream::UpstreamError;
 
 /// Increase of the urgency class of a client retry. Backends admit higher classes after lower ones.
@@ -55,6 +57,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
+    pub(crate) turns: Turns,
     in_flight: InFlightRequests,
     /// Time of the stop signal and what is accepted since.
     stopping: Cell<Option<(Instant, Acceptance)>>,
@@ -74,6 +77,8 @@
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
+    /// Pauses between the events of streams in progress, by service.
+    pub(crate) stream_pace: IndexMap<String, StreamPace>,
     pub(crate) first_deadlines: IndexMap<String, FirstDeadlines>,
     /// Time at which a request was last rejected.
     pub(crate) rejected_at_ms: Option<u64>,
@@ -154,6 +159,7 @@
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
+            turns: Turns::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
             answer_by: watch::Sender::default(),
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -17,6 +17,7 @@
 use crate::attempts::{BackendResponse, Dispatched};
 use crate::clock::now_ms;
 use crate::crashes::AnswerProgress;
+use crate::placement::StreamInProgress;
 use crate::request_handler::{Call, Gateway};
 use crate::response_body::TruncatedBody;
 use crate::upstream::{Framing, UpstreamError};
@@ -24,7 +25,6 @@
 /// Minimum number of pauses between events. The pace of a backend cannot be measured on a shorter
 /// stream.
 const MIN_PAUSES: u32 = 4;
-const MS_PER_S: f64 = 1_000.0;
 
 /// An event stream that is being relayed to a caller.
 pub struct RelayedStream {
@@ -35,6 +35,8 @@
     splitter: EventSplitter,
     backend_stream: Option<BackendStream>,
     pauses: Option<PauseMeter>,
+    first_event_ms: Option<u64>,
+    in_progress: Option<StreamInProgress>,
 }
 
 /// Measures the pauses between the events of a stream from one backend.
@@ -73,7 +75,17 @@
         let splitter = EventSplitter::new(call.metadata.last_event_id);
         let pauses = Some(PauseMeter::new(response.running));
         let backend_stream = Some(BackendStream::from(response));
-        Self { gateway, call, relay, tried, splitter, backend_stream, pauses }
+        Self {
+            gateway,
+            call,
+            relay,
+            tried,
+            splitter,
+            backend_stream,
+            pauses,
+            first_event_ms: None,
+            in_progress: None,
+        }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
@@ -86,12 +98,16 @@
                 StreamRead::Events(events) => {
                     self.gateway.pool.record_heard(key, now_ms());
                     if !backend_stream.answer.has_events() {
-                        let waited_ms = now_ms() - backend_stream.response.sent_at_ms;
-                        metrics::histogram!("currantlink_first_event_seconds")
-                            .record(waited_ms as f64 / MS_PER_S);
+                        let start_ms = now_ms() - backend_stream.response.sent_at_ms;
+                        let start = Duration::from_millis(start_ms);
+                        self.in_progress = Some(self.gateway.record_start(&self.call, start));
                     }
+                    let after_ms = self.call.arrived_at.elapsed().as_millis() as u64;
+                    self.first_event_ms.get_or_insert(after_ms);
                     self.call.progress.record_event();
-                    self.pauses.iter_mut().for_each(|pauses| pauses.record_event(Instant::now()));
+                    let pauses = self.pauses.as_mut();
+                    let pause = pauses.and_then(|pauses| pauses.record_event(Instant::now()));
+                    self.gateway.record_event(&self.call, pause);
                     if backend_stream.answer.record_event(Instant::now()) {
                         self.gateway.record_sound(&self.call);
                     }
@@ -126,6 +142,7 @@
     async fn resume(&mut self, outcome: Outcome) -> bool {
         self.backend_stream = None;
         self.pauses = None;
+        self.in_progress = None;
         self.splitter.drop_partial();
         let resumable = matches!(self.call.route().repeat, Repeat::ResumableStream { .. });
         let next = self.relay.attempt_ended(outcome, || self.gateway.try_spend_retry(&self.call));
@@ -162,7 +179,7 @@
         );
         if let Some(pauses) = self.pauses.as_ref().and_then(PauseMeter::measured) {
             log::info!(request = self.call.attempt_id.as_str(),
-                longest_pause_ms = pauses.longest_ms as u64, mean_pause_ms = pauses.mean_ms as u64,
+                first_event_ms = self.first_event_ms, longest_pause_ms = pauses.longest_ms as u64, mean_pause_ms = pauses.mean_ms as u64,
                 running = pauses.running as u64; "stream ended");
             self.gateway.record_stream(&self.call, pauses);
         }
@@ -193,13 +210,13 @@
         }
     }
 
-    fn record_event(&mut self, now: Instant) {
-        if let Some(last) = self.last_event_at.replace(now) {
-            let pause = now - last;
-            self.longest = self.longest.max(pause);
-            self.total += pause;
-            self.count += 1;
-        }
+    /// Records an event and returns the pause before it, if it is not the first one.
+    fn record_event(&mut self, now: Instant) -> Option<Duration> {
+        let pause = now - self.last_event_at.replace(now)?;
+        self.longest = self.longest.max(pause);
+        self.total += pause;
+        self.count += 1;
+        Some(pause)
     }
 
     fn measured(&self) -> Option<StreamPauses> {
--- /dev/null
+++ b/daemon/src/turns.rs
@@ -0,0 +1,166 @@
+//! Requests that wait in this gateway until a backend has room. See [`currantlink_core::turns`].
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use currantlink_core::fleet::FleetKey;
+use currantlink_core::retry::RetryState;
+use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::clock::now_ms;
+use crate::placement::{Placement, PlacementError};
+use crate::rejection::{NotRunReason, Rejection};
+use crate::request_handler::{Call, Gateway};
+
+/// Interval at which waiting requests look for room that other gateways have left.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The waiting requests of all services. Clones share their state.
+#[derive(Clone, Default)]
+pub struct Turns(Rc<RefCell<IndexMap<String, ServiceTurns>>>);
+
+#[derive(Default)]
+struct ServiceTurns {
+    queue: WaitQueue,
+    wakers: IndexMap<TurnKey, Rc<Notify>>,
+}
+
+/// The place of a request in a queue, given up when dropped.
+struct Turn {
+    turns: Turns,
+    service: String,
+    key: TurnKey,
+    waker: Rc<Notify>,
+}
+
+impl Turns {
+    fn is_empty(&self, service: &str) -> bool {
+        self.0.borrow().get(service).is_none_or(|turns| turns.queue.is_empty())
+    }
+
+    fn join(&self, service: &str, request: Waiting, interval_ms: f64) -> Option<Turn> {
+        let mut services = self.0.borrow_mut();
+        let turns = services.entry(service.to_owned()).or_default();
+        let key = turns.queue.join(now_ms(), request, interval_ms)?;
+        let waker = Rc::new(Notify::new());
+        turns.wakers.insert(key, Rc::clone(&waker));
+        metrics::gauge!("currantlink_waiting_requests", "service" => service.to_owned())
+            .set(turns.queue.len() as f64);
+        Some(Turn { turns: self.clone(), service: service.to_owned(), key, waker })
+    }
+
+    fn has_waiting(&self) -> bool {
+        self.0.borrow().values().any(|turns| !turns.queue.is_empty())
+    }
+
+    /// Wakes the next request of each service.
+    fn wake(&self) {
+        for turns in self.0.borrow().values() {
+            let next = turns.queue.next(now_ms()).and_then(|key| turns.wakers.get(&key));
+            next.into_iter().for_each(|waker| waker.notify_one());
+        }
+    }
+}
+
+impl Turn {
+    fn record_sent(&self) {
+        if let Some(turns) = self.turns.0.borrow_mut().get_mut(&self.service) {
+            turns.queue.record_sent(self.key);
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some(turns) = self.turns.0.borrow_mut().get_mut(&self.service) {
+            turns.queue.remove(self.key);
+            turns.wakers.shift_remove(&self.key);
+            metrics::gauge!("currantlink_waiting_requests", "service" => self.service.clone())
+                .set(turns.queue.len() as f64);
+        }
+        self.turns.wake();
+    }
+}
+
+impl Gateway {
+    /// Selects a backend as [`place`](Self::place) does. If all are full, the request waits for its
+    /// turn, if it is expected to come in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no backend takes the request in time, or for the reasons of
+    /// [`place`](Self::place).
+    pub(crate) async fn place_in_turn(
+        &self,
+        call: &Call,
+        relay: &RetryState,
+        tried: &[FleetKey],
+    ) -> Result<Placement, Rejection> {
+        let service = &call.service().name;
+        if call.service().engine.is_none() || self.turns.is_empty(service) {
+            match self.place(call, tried) {
+                Err(PlacementError::Full(full)) if call.service().engine.is_none() => {
+                    return Err(self.full_rejection(call, full));
+                }
+                Err(PlacementError::Full(_)) => {}
+                Err(PlacementError::Rejected(rejection)) => return Err(rejection),
+                Ok(placement) => return Ok(placement),
+            }
+        }
+        let waiting = self.waiting(call, relay);
+        let until =
+            Instant::now() + Duration::from_millis(waiting.until_ms.saturating_sub(now_ms()));
+        let until = until.min(call.deadline);
+        let Some(turn) = self.turns.join(service, waiting, self.release_interval_ms(call)) else {
+            return Err(self.not_run_rejection(call, NotRunReason::Full));
+        };
+        let began_at = Instant::now();
+        self.pool.changed().notify_one();
+        loop {
+            let woken = tokio::time::timeout_at(until, turn.waker.notified()).await;
+            let placed = match woken {
+                Ok(()) => self.place(call, tried),
+                Err(_) => return Err(self.not_run_rejection(call, NotRunReason::Full)),
+            };
+            match placed {
+                Err(PlacementError::Full(_)) => {}
+                Err(PlacementError::Rejected(rejection)) => return Err(rejection),
+                Ok(placement) => {
+                    turn.record_sent();
+                    metrics::histogram!("currantlink_wait_seconds")
+                        .record(began_at.elapsed().as_secs_f64());
+                    return Ok(placement);
+                }
+            }
+        }
+    }
+
+    fn waiting(&self, call: &Call, relay: &RetryState) -> Waiting {
+        let origin = match relay.may_have_run() {
+            true => Origin::Moved,
+            false if call.is_client_retry => Origin::Returned,
+            false => Origin::New,
+        };
+        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
+        let left_ms =
+            call.route().target_ms.saturating_sub(elapsed_ms + self.start_ms(call) as u64);
+        Waiting::new(origin, call.urgency, now_ms(), left_ms)
+    }
+}
+
+/// Wakes waiting requests when a request of this gateway ends, and at an interval while any wait.
+pub async fn wake_waiting(gateway: Rc<Gateway>) {
+    let changed = gateway.pool.changed();
+    loop {
+        match gateway.turns.has_waiting() {
+            // An interval without a change has the same effect as a change.
+            true => drop(tokio::time::timeout(RETRY_INTERVAL, changed.notified()).await),
+            false => changed.notified().await,
+        }
+        gateway.turns.wake();
+    }
+}
