Divide the room that a backend reports among the gateways

What callers saw: streams that were taken away from a stopped backend, and requests that waited, were all sent to the backend that had just reported a free slot, waited there for over a second and lost their callers.

Cause: every gateway that knows a report takes the room in it for its own. Ruled out: late reports (agents read every 20 to 80 ms and see queued requests at once).

Change: from half of its capacity on, the room in a report is divided at random among the gateways, so that their sends add up to it in the mean; the room that a gateway's own ended requests leave is its own.

Tests: room_divided (with the division switched off all gateways send), own_room_refilled.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -65,6 +65,8 @@
     pub is_serving: bool,
     /// Mean interval between recent reports.
     pub interval_ms: f64,
+    /// Uniform random number, drawn by the gateway that received the report.
+    pub draw: u64,
 }
 
 impl LoadReport {
@@ -109,9 +111,21 @@
         reported.saturating_sub(self.ended_since_report).max(self.own_requests)
     }
 
-    /// Returns whether the backend takes another request within the limits.
-    fn has_room(&self, limits: Limits) -> bool {
-        self.load() < limits.max_load(self)
+    /// Returns whether one of `gateways` that know the same report may send a request.
+    ///
+    /// The room that a report shows at a busy backend is divided at random among the gateways, so
+    /// that they do not all fill it. The room that a gateway's own requests leave is its own.
+    fn has_room(&self, limits: Limits, gateways: usize) -> bool {
+        let max_load = limits.max_load(self);
+        let share = self.report.map_or(max_load, |report| {
+            let reported = report.active + report.queued;
+            let room = max_load.saturating_sub(reported);
+            match reported < max_load / 2 {
+                true => room,
+                false => random_share(room, gateways, report.draw),
+            }
+        });
+        self.load() < max_load && self.sent_since_report < share + self.ended_since_report
     }
 }
 
@@ -156,12 +170,25 @@
     (backends / gateways.max(1)).max(MIN_SAMPLE)
 }
 
+/// Divides `room` among `gateways` that draw independently. The expected sum of their shares is `room`.
+fn random_share(room: u32, gateways: usize, draw: u64) -> u32 {
+    let gateways = gateways.max(1) as u64;
+    let room = u64::from(room);
+    (room / gateways + u64::from(draw % gateways < room % gateways)) as u32
+}
+
 /// Selects the least loaded of `sample_size` randomly drawn backends with room, or of all if none of
 /// those has room.
 ///
 /// An ejected backend is selected only if no other backend has room. `draw` is a uniform random
 /// number, which draws the sample and breaks ties.
-pub fn choose(candidates: &[Candidate], limits: Limits, sample_size: usize, draw: u64) -> Choice {
+pub fn choose(
+    candidates: &[Candidate],
+    limits: Limits,
+    gateways: usize,
+    sample_size: usize,
+    draw: u64,
+) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.is_serving);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
     if usable.is_empty() {
@@ -172,7 +199,7 @@
     shuffle(&mut healthy, draw);
     shuffle(&mut ejected, draw);
     let with_room = |candidates: &[&Candidate]| -> Option<FleetKey> {
-        let has_room = candidates.iter().filter(|c| c.has_room(limits));
+        let has_room = candidates.iter().filter(|c| c.has_room(limits, gateways));
         least_loaded(&has_room.copied().collect::<Vec<_>>()).map(|candidate| candidate.key)
     };
     let sample = &healthy[..sample_size.min(healthy.len())];
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -7,7 +7,7 @@
 use currantlink_core::silence::SILENT_AFTER_RANGE_MS;
 
 fn choose_among_all(candidates: &[Candidate], limits: Limits, draw: u64) -> Choice {
-    choose(candidates, limits, candidates.len(), draw)
+    choose(candidates, limits, 1, candidates.len(), draw)
 }
 
 fn queued(queued: u32) -> Limits {
@@ -185,6 +185,7 @@
     let mut ends: Vec<Vec<u64>> = vec![Vec::new(); BACKENDS];
     let mut reports = vec![LoadReport { is_serving: true, ..LoadReport::default() }; BACKENDS];
     let mut sent = vec![vec![0_u32; BACKENDS]; gateways];
+    let mut draws = vec![vec![0_u64; BACKENDS]; gateways];
     let (mut requests, mut queued_requests) = (0_u32, 0_u32);
     for now_ms in (0..20_000).step_by(ARRIVAL_MS as usize) {
         for backend in 0..BACKENDS {
@@ -192,6 +193,7 @@
             if (now_ms + backend as u64 * 2) % REPORT_MS < ARRIVAL_MS {
                 reports[backend].active = ends[backend].len() as u32;
                 sent.iter_mut().for_each(|sent| sent[backend] = 0);
+                draws.iter_mut().for_each(|draws| draws[backend] = random());
             }
         }
         let gateway = random() as usize % gateways;
@@ -202,12 +204,13 @@
                 own_requests: 0,
                 sent_since_report: sent[gateway][backend],
                 ended_since_report: 0,
-                report: Some(reports[backend]),
+                report: Some(LoadReport { draw: draws[gateway][backend], ..reports[backend] }),
                 ejected: false,
                 local: backend % 3 == gateway % 3,
             })
             .collect();
-        let Choice::Send(FleetKey(key)) = choose(&candidates, queued(2), sample_size, random())
+        let Choice::Send(FleetKey(key)) =
+            choose(&candidates, queued(2), gateways, sample_size, random())
         else {
             continue;
         };
@@ -233,3 +236,43 @@
     assert!(queued_share(1, sample_size(72, 1)) < 0.01);
     assert_eq!(sample_size(3, 15), 2);
 }
+
+/// Returns how many of `gateways` that know the same report send a request to a backend with `room`, in
+/// the mean of many reports.
+fn mean_sends(gateways: u64, room: u32) -> f64 {
+    const REPORTS: u64 = 2_000;
+    let sends = |report: u64| {
+        let draws = (0..gateways).map(|gateway| {
+            (report * gateways + gateway + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 20
+        });
+        let candidates = draws.map(|draw| {
+            let busy = reported(1, 4 - room, 0, 0);
+            let report = busy.report.map(|report| LoadReport { draw, ..report });
+            Candidate { report, ..busy }
+        });
+        let sent = candidates.filter(|&candidate| {
+            choose(&[candidate], queued(0), gateways as usize, 1, 0) == Choice::Send(FleetKey(1))
+        });
+        sent.count()
+    };
+    (0..REPORTS).map(sends).sum::<usize>() as f64 / REPORTS as f64
+}
+
+#[test]
+fn room_divided() {
+    for gateways in [1, 3, 6, 34, 360] {
+        let sends = mean_sends(gateways, 1);
+        assert!((sends - 1.0).abs() < 0.1, "{sends} of {gateways} gateways use the only free slot");
+    }
+}
+
+#[test]
+fn own_room_refilled() {
+    // A gateway whose own request ended may replace it whatever the others do.
+    for draw in 0..50 {
+        let busy = reported(1, 4, 0, 0);
+        let report = busy.report.map(|report| LoadReport { draw, ..report });
+        let ended = Candidate { report, ended_since_report: 1, ..busy };
+        assert_eq!(choose(&[ended], queued(0), 34, 1, draw), Choice::Send(FleetKey(1)));
+    }
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -419,7 +419,8 @@
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
-        let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms };
+        let draw = rand::random();
+        let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
         self.shared.load_reports.record(address, report);
     }
 
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -89,7 +89,7 @@
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
         let sample_size = least_loaded::sample_size(candidates.len(), gateways);
-        match least_loaded::choose(&candidates, limits, sample_size, rand::random()) {
+        match least_loaded::choose(&candidates, limits, gateways, sample_size, rand::random()) {
             Choice::Send(key) => {
                 self.rate_limits.record_request(key);
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
