Log why a request gets no turn, and do not let a bound request block the queue

A request that is rejected while others wait, or whose wait ends, logged no reason; `backends full` is back with the number of waiting requests, `no turn in time` stands for the rest. A request that a backend has had cannot go there again: while it is first, the room of that backend stayed unused. The next request that may go anywhere is woken too (bound_request in core/tests/turns, which the first version of next() cannot pass, as it names one request only).

--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -38,6 +38,8 @@
     pub origin: Origin,
     /// Urgency class; lower classes are sent first.
     pub urgency: u8,
+    /// Whether a backend has had it. It is not sent there again.
+    pub has_tried: bool,
     /// Time at which it began to wait.
     pub since_ms: u64,
     /// Time after which it is rejected.
@@ -54,7 +56,8 @@
             Origin::New => left_ms,
             Origin::Returned => RETURNED_WAIT_MS,
         };
-        Self { origin, urgency, since_ms: now_ms, until_ms: now_ms + wait_ms }
+        let until_ms = now_ms + wait_ms;
+        Self { origin, urgency, has_tried: false, since_ms: now_ms, until_ms }
     }
 
     /// Returns whether more than half of its time to wait is over.
@@ -97,11 +100,20 @@
         Some(key)
     }
 
-    /// Returns the request whose turn it is.
+    /// Returns the request whose turn it is, and the next one that may use any backend if the first may
+    /// not.
+    pub fn next_turns(&self, now_ms: u64) -> impl Iterator<Item = TurnKey> {
+        let first = self.next(now_ms, |_| true);
+        let is_bound = first.is_some_and(|key| self.waiting[&key].has_tried);
+        let second = is_bound.then(|| self.next(now_ms, |request| !request.has_tried)).flatten();
+        first.into_iter().chain(second)
+    }
+
+    /// Returns the request among those for which `is_eligible` holds whose turn it is.
     ///
     /// Within a class it is the one that has waited longest. If new requests wait for long, there are
     /// more than can be sent in time: the one that came last is then the most certain to be on time.
-    pub fn next(&self, now_ms: u64) -> Option<TurnKey> {
+    fn next(&self, now_ms: u64, is_eligible: impl Fn(&Waiting) -> bool) -> Option<TurnKey> {
         let is_returned_turn = self.sent % RETURNED_PERIOD == RETURNED_PERIOD - 1;
         let mut new = self.waiting.values().filter(|request| request.origin == Origin::New);
         let is_overloaded = new.any(|request| request.is_old(now_ms));
@@ -118,7 +130,8 @@
             };
             (origin, request.urgency, order)
         };
-        self.waiting.iter().min_by_key(rank).map(|(&key, _)| key)
+        let eligible = self.waiting.iter().filter(|(_, request)| is_eligible(request));
+        eligible.min_by_key(rank).map(|(&key, _)| key)
     }
 
     /// Removes a request that was sent to a backend.
--- a/core/tests/turns.rs
+++ b/core/tests/turns.rs
@@ -16,7 +16,7 @@
 /// Sends all waiting requests and returns them in this order.
 fn sent(queue: &mut WaitQueue, now_ms: u64) -> Vec<TurnKey> {
     std::iter::from_fn(|| {
-        let key = queue.next(now_ms)?;
+        let key = queue.next_turns(now_ms).next()?;
         queue.record_sent(key);
         Some(key)
     })
@@ -45,7 +45,7 @@
     let mut queue = WaitQueue::default();
     let old = join(&mut queue, Origin::New, 0).unwrap();
     let new = join(&mut queue, Origin::New, LEFT_MS / 2).unwrap();
-    assert_eq!(queue.next(LEFT_MS / 2), Some(old));
+    assert_eq!(queue.next_turns(LEFT_MS / 2).next(), Some(old));
     assert_eq!(sent(&mut queue, LEFT_MS / 2 + 2), [new, old]);
 }
 
@@ -73,9 +73,20 @@
     let mut count = 0;
     for now_ms in 0..80 {
         join(&mut queue, Origin::New, now_ms);
-        let key = queue.next(now_ms).unwrap();
+        let key = queue.next_turns(now_ms).next().unwrap();
         queue.record_sent(key);
         count += u32::from(returned.contains(&Some(key)));
     }
     assert_eq!(count, 10, "one in eight while new requests keep coming");
 }
+
+#[test]
+fn bound_request() {
+    let mut queue = WaitQueue::default();
+    let bound = Waiting { has_tried: true, ..waiting(Origin::Moved, 0) };
+    let bound = queue.join(0, bound, INTERVAL_MS).unwrap();
+    let free = join(&mut queue, Origin::New, 0).unwrap();
+    assert_eq!(queue.next_turns(1).collect::<Vec<_>>(), [bound, free]);
+    queue.remove(bound);
+    assert_eq!(queue.next_turns(1).collect::<Vec<_>>(), [free]);
+}
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -126,13 +126,28 @@
         }
     }
 
-    /// Rejects a request because all backends are full.
-    pub(crate) fn full_rejection(&self, call: &Call, full: FullBackends) -> Rejection {
-        let FullBackends { least_load, slots, limits, excess, candidates } = full;
-        log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
-            least_load, slots, queue_limit = limits.queued, running_limit = limits.running, excess,
-            candidates, returned = call.is_client_retry, config_version = call.table.version();
-            "backends full");
+    /// Rejects a request because all backends are full. `full` is what was known of them, unless the
+    /// request found others waiting; `interval_ms` is the expected time between two turns.
+    pub(crate) fn full_rejection(
+        &self,
+        call: &Call,
+        full: Option<FullBackends>,
+        interval_ms: f64,
+    ) -> Rejection {
+        let (request, route) = (call.attempt_id.as_str(), call.route().name.as_str());
+        let waiting = self.turns.count(&call.service().name);
+        let (returned, config_version) = (call.is_client_retry, call.table.version());
+        match full {
+            Some(FullBackends { least_load, slots, limits, excess, candidates }) => {
+                log::info!(request, route, least_load, slots, queue_limit = limits.queued,
+                    running_limit = limits.running, excess, candidates, waiting, returned,
+                    config_version; "backends full");
+            }
+            None => {
+                log::info!(request, route, waiting, interval_ms = interval_ms as u64, returned,
+                    config_version; "no turn in time");
+            }
+        }
         self.not_run_rejection(call, NotRunReason::Full)
     }
 
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -13,9 +13,10 @@
 
 use crate::clock::now_ms;
 use crate::placement::{Placement, PlacementError};
-use crate::rejection::{NotRunReason, Rejection};
+use crate::rejection::Rejection;
 use crate::request_handler::{Call, Gateway};
 
+const MS_PER_S: f64 = 1_000.0;
 /// Interval at which waiting requests look for room that other gateways have left.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -57,11 +58,16 @@
         self.0.borrow().values().any(|turns| !turns.queue.is_empty())
     }
 
-    /// Wakes the next request of each service.
+    /// Returns the number of waiting requests of a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.0.borrow().get(service).map_or(0, |turns| turns.queue.len())
+    }
+
+    /// Wakes the next requests of each service.
     fn wake(&self) {
         for turns in self.0.borrow().values() {
-            let next = turns.queue.next(now_ms()).and_then(|key| turns.wakers.get(&key));
-            next.into_iter().for_each(|waker| waker.notify_one());
+            let next = turns.queue.next_turns(now_ms()).filter_map(|key| turns.wakers.get(&key));
+            next.for_each(|waker| waker.notify_one());
         }
     }
 }
@@ -101,45 +107,41 @@
         tried: &[FleetKey],
     ) -> Result<Placement, Rejection> {
         let service = &call.service().name;
-        if call.service().engine.is_none() || self.turns.is_empty(service) {
+        let may_wait = call.service().engine.is_some();
+        let mut full = None;
+        if !may_wait || self.turns.is_empty(service) {
             match self.place(call, tried) {
-                Err(PlacementError::Full(full)) if call.service().engine.is_none() => {
-                    return Err(self.full_rejection(call, full));
-                }
-                Err(PlacementError::Full(_)) => {}
+                Err(PlacementError::Full(backends)) => full = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => return Ok(placement),
             }
         }
-        let waiting = self.waiting(call, relay);
-        let until =
-            Instant::now() + Duration::from_millis(waiting.until_ms.saturating_sub(now_ms()));
-        let until = until.min(call.deadline);
-        let Some(turn) = self.turns.join(service, waiting, self.release_interval_ms(call)) else {
-            return Err(self.not_run_rejection(call, NotRunReason::Full));
+        let interval_ms = self.release_interval_ms(call);
+        let waiting = self.waiting(call, relay, !tried.is_empty());
+        let turn = may_wait.then(|| self.turns.join(service, waiting, interval_ms)).flatten();
+        let Some(turn) = turn else {
+            return Err(self.full_rejection(call, full, interval_ms));
         };
-        let began_at = Instant::now();
+        let wait = Duration::from_millis(waiting.until_ms - waiting.since_ms);
+        let until = call.deadline.min(Instant::now() + wait);
         self.pool.changed().notify_one();
-        loop {
-            let woken = tokio::time::timeout_at(until, turn.waker.notified()).await;
-            let placed = match woken {
-                Ok(()) => self.place(call, tried),
-                Err(_) => return Err(self.not_run_rejection(call, NotRunReason::Full)),
-            };
-            match placed {
-                Err(PlacementError::Full(_)) => {}
+        while tokio::time::timeout_at(until, turn.waker.notified()).await.is_ok() {
+            match self.place(call, tried) {
+                Err(PlacementError::Full(backends)) => full = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => {
                     turn.record_sent();
+                    let waited_ms = now_ms() - waiting.since_ms;
                     metrics::histogram!("currantlink_wait_seconds")
-                        .record(began_at.elapsed().as_secs_f64());
+                        .record(waited_ms as f64 / MS_PER_S);
                     return Ok(placement);
                 }
             }
         }
+        Err(self.full_rejection(call, full, interval_ms))
     }
 
-    fn waiting(&self, call: &Call, relay: &RetryState) -> Waiting {
+    fn waiting(&self, call: &Call, relay: &RetryState, has_tried: bool) -> Waiting {
         let origin = match relay.may_have_run() {
             true => Origin::Moved,
             false if call.is_client_retry => Origin::Returned,
@@ -148,7 +150,7 @@
         let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
         let left_ms =
             call.route().target_ms.saturating_sub(elapsed_ms + self.start_ms(call) as u64);
-        Waiting::new(origin, call.urgency, now_ms(), left_ms)
+        Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left_ms) }
     }
 }
 
