--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -8,6 +8,8 @@
 
 /// Weight of the newest interval in the mean interval between reports.
 const INTERVAL_WEIGHT: f64 = 0.1;
+/// Longest interval between the reports of a backend whose load changes, with some delay.
+const BUSY_REPORT_INTERVAL_MS: f64 = 100.0;
 /// Longest interval that counts. A longer one is a pause of the agent.
 const MAX_INTERVAL_MS: f64 = 500.0;
 /// Part of the target latency reserved for prefill and the first step; the rest allows queueing.
@@ -111,24 +113,43 @@
         reported.saturating_sub(self.ended_since_report).max(self.own_requests)
     }
 
-    /// Returns whether one of `gateways` that know the same report may send a request.
+    /// Returns the room that the report shows, or `None` without a report.
+    fn reported_room(&self, limits: Limits) -> Option<u32> {
+        let report = self.report?;
+        Some(limits.max_load(self).saturating_sub(report.active + report.queued))
+    }
+
+    /// Returns whether the backend takes another request, if `competing` gateways use the same report.
     ///
-    /// The room that a report shows at a busy backend is divided at random among the gateways, so
-    /// that they do not all fill it. The room that a gateway's own requests leave is its own.
-    fn has_room(&self, limits: Limits, gateways: usize) -> bool {
-        let max_load = limits.max_load(self);
-        let share = self.report.map_or(max_load, |report| {
-            let reported = report.active + report.queued;
-            let room = max_load.saturating_sub(reported);
-            match reported < max_load / 2 {
-                true => room,
-                false => random_share(room, gateways, report.draw),
-            }
-        });
-        self.load() < max_load && self.sent_since_report < share + self.ended_since_report
+    /// The room that a report shows is divided among them, so that they do not all fill it. The room
+    /// that a gateway's own requests leave is its own.
+    fn has_room(&self, limits: Limits, competing: usize) -> bool {
+        let share = match (self.reported_room(limits), self.report) {
+            (Some(room), Some(report)) => random_share(room, competing, report.draw),
+            (None, _) | (_, None) => limits.max_load(self),
+        };
+        self.load() < limits.max_load(self)
+            && self.sent_since_report < share + self.ended_since_report
     }
 }
 
+/// Returns the number of gateways that compete for the room that the reports show: all of `gateways`
+/// if they send more than it within a report interval, one otherwise.
+///
+/// `own_rate_per_ms` is how many requests this gateway has for the backends; the others are expected
+/// to have as many. While requests wait, they use any room.
+pub fn competing_gateways(
+    candidates: &[Candidate],
+    limits: Limits,
+    gateways: usize,
+    own_rate_per_ms: f64,
+    are_waiting: bool,
+) -> usize {
+    let room: u32 = candidates.iter().filter_map(|c| c.reported_room(limits)).sum();
+    let demand = own_rate_per_ms * BUSY_REPORT_INTERVAL_MS * gateways as f64;
+    if are_waiting || demand > f64::from(room) { gateways } else { 1 }
+}
+
 /// Limits on the requests at a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -185,7 +206,7 @@
 pub fn choose(
     candidates: &[Candidate],
     limits: Limits,
-    gateways: usize,
+    competing: usize,
     sample_size: usize,
     draw: u64,
 ) -> Choice {
@@ -199,11 +220,13 @@
     shuffle(&mut healthy, draw);
     shuffle(&mut ejected, draw);
     let with_room = |candidates: &[&Candidate]| -> Option<FleetKey> {
-        let has_room = candidates.iter().filter(|c| c.has_room(limits, gateways));
+        let has_room = candidates.iter().filter(|c| c.has_room(limits, competing));
         least_loaded(&has_room.copied().collect::<Vec<_>>()).map(|candidate| candidate.key)
     };
     let sample = &healthy[..sample_size.min(healthy.len())];
-    let chosen = with_room(sample).or_else(|| with_room(&healthy)).or_else(|| with_room(&ejected));
+    // The least loaded of all would be the same one for all gateways.
+    let any_with_room = || healthy.iter().find(|c| c.has_room(limits, competing)).map(|c| c.key);
+    let chosen = with_room(sample).or_else(any_with_room).or_else(|| with_room(&ejected));
     if let Some(key) = chosen {
         return Choice::Send(key);
     }
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -89,7 +89,16 @@
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
         let sample_size = least_loaded::sample_size(candidates.len(), gateways);
-        match least_loaded::choose(&candidates, limits, gateways, sample_size, rand::random()) {
+        let service = &call.service().name;
+        let arrivals = self.observations.borrow().arrivals.get(service).copied();
+        let competing = least_loaded::competing_gateways(
+            &candidates,
+            limits,
+            gateways,
+            arrivals.unwrap_or_default().per_ms(now),
+            self.turns.count(service) > 0,
+        );
+        match least_loaded::choose(&candidates, limits, competing, sample_size, rand::random()) {
             Choice::Send(key) => {
                 self.rate_limits.record_request(key);
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::arrivals::ArrivalRate;
 use currantlink_core::concurrency::ConcurrencyLimiter;
 use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
@@ -77,6 +78,8 @@
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
+    /// Rates of the requests for backends, by service.
+    pub(crate) arrivals: IndexMap<String, ArrivalRate>,
     /// Pauses between the events of streams in progress, by service.
     pub(crate) stream_pace: IndexMap<String, StreamPace>,
     pub(crate) first_deadlines: IndexMap<String, FirstDeadlines>,
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -108,6 +108,7 @@
     ) -> Result<Placement, Rejection> {
         let service = &call.service().name;
         let may_wait = call.service().engine.is_some();
+        self.record_arrival(service);
         let mut full = None;
         if !may_wait || self.turns.is_empty(service) {
             match self.place(call, tried) {
@@ -141,6 +142,11 @@
         Err(self.full_rejection(call, full, interval_ms))
     }
 
+    fn record_arrival(&self, service: &str) {
+        let mut observations = self.observations.borrow_mut();
+        observations.arrivals.entry(service.to_owned()).or_default().record(now_ms());
+    }
+
     fn waiting(&self, call: &Call, relay: &RetryState, has_tried: bool) -> Waiting {
         let origin = match relay.may_have_run() {
             true => Origin::Moved,
