--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -333,6 +333,15 @@
     }
 }
 
+#[test]
+fn many_gateways_few_engines() {
+    for load in [0.2, 0.5] {
+        let outcome = Play::new(34, 3).run(load);
+        let on_time = f64::from(outcome.on_time) / f64::from(outcome.asked);
+        assert!(on_time >= 0.95, "load {load}: {outcome:?}");
+    }
+}
+
 #[test]
 fn on_time_overload() {
     for (gateways, engines) in SHAPES {
