--- a/core/src/deadlines.rs
+++ b/core/src/deadlines.rs
@@ -1,7 +1,7 @@
 //! Recognizes requests that return after a rejection, by the deadlines of a route's requests.
 //!
-//! A request that returns has part of its deadline behind it. First attempts differ in their
-//! deadlines too, so that only one that is shorter than those of recent first attempts tells.
+//! Part of the deadline of such a request is over. Deadlines of first attempts differ too, so only a
+//! deadline that is shorter than those of recent first attempts identifies one.
 
 use std::collections::VecDeque;
 
@@ -22,7 +22,8 @@
 }
 
 impl FirstDeadlines {
-    /// Returns whether a request returns after a rejection, and remembers its deadline otherwise.
+    /// Returns whether a request returns after a rejection. Its deadline is remembered as that of a
+    /// first attempt if no request has been rejected lately.
     ///
     /// `rejected_at_ms` is when this gateway last rejected a request.
     pub fn is_returned(
--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -198,8 +198,8 @@
     (room / gateways + u64::from(draw % gateways < room % gateways)) as u32
 }
 
-/// Selects the least loaded of `sample_size` randomly drawn backends with room, or of all if none of
-/// those has room.
+/// Selects the least loaded of `sample_size` randomly drawn backends, or any other one if none of those
+/// has room. `competing` gateways use the same reports.
 ///
 /// An ejected backend is selected only if no other backend has room. `draw` is a uniform random
 /// number, which draws the sample and breaks ties.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,7 +37,7 @@
 pub mod rate_limit;
 pub mod reader;
 pub mod rebalance;
-pub mod release;
+
 pub mod response;
 pub mod retry;
 pub mod router;
@@ -46,6 +46,7 @@
 pub mod shared_reads;
 pub mod silence;
 pub mod stop;
+pub mod stream_pace;
 pub mod submission;
 pub mod subset;
 pub mod suspects;
--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -1,8 +1,8 @@
 //! Order in which requests that wait in a gateway are sent to backends.
 //!
 //! Requests wait here and not at backends, because a backend that stops cannot be told that a caller
-//! has left. The queue cannot stand: a request is rejected as soon as it is expected to wait for
-//! longer than is of use to its caller.
+//! has left. A request is rejected at once if it is expected to wait for longer than is of use to its
+//! caller.
 
 use indexmap::IndexMap;
 
@@ -12,8 +12,8 @@
 /// Longest wait of a request that a backend has failed. Callers leave two seconds after the last
 /// event, of which the loss of the backend has used up a part.
 const MOVED_WAIT_MS: u64 = 1_500;
-/// One in this many requests that are sent is one that has returned, if there are any. All others
-/// are new while new ones wait, because those can still be on time.
+/// One in this many requests that are sent is one that has returned, if any waits. The others are new
+/// ones while any waits, because those can still be on time.
 const RETURNED_PERIOD: u32 = 8;
 
 /// Key of a waiting request; never reused.
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -11,9 +11,9 @@
     Candidate, Choice, Limits, LoadReport, choose, competing_gateways, queue_limit, retry_after_ms,
     sample_size,
 };
-use currantlink_core::release::StreamPace;
 use currantlink_core::routes::EngineProfile;
 use currantlink_core::silence::SILENT_AFTER_RANGE_MS;
+use currantlink_core::stream_pace::StreamPace;
 use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
 
 const SLOTS: u32 = 12;
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -10,7 +10,7 @@
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
 
 use currantlink_core::rate_limit::Permit;
-use currantlink_core::release::StreamPace;
+use currantlink_core::stream_pace::StreamPace;
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
