Simplify what came with the turns

Plain services compute no waiting entry that they never use (it also left an empty stream pace for them), an event of a stream allocates no name of its service, Turns::is_empty was count() == 0 by another name, and two log statements are wrapped.

Seen and left: a rejected request computes its candidates twice (release_interval_ms after place), and least_loaded reserves a fixed time for the prefill where stream_pace measures it.

--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -109,7 +109,8 @@
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
                     running_limit, tried = tried.len(), returned = call.is_client_retry,
-                    waited_ms = call.arrived_at.elapsed().as_millis() as u64, config_version = call.table.version();
+                    waited_ms = call.arrived_at.elapsed().as_millis() as u64,
+                    config_version = call.table.version();
                     "request placed");
                 Ok(Placement { key, running: mean_running(&candidates) })
             }
@@ -290,7 +291,10 @@
 
     fn with_pace<R>(&self, service: &str, update: impl FnOnce(&mut StreamPace) -> R) -> R {
         let mut observations = self.observations.borrow_mut();
-        update(observations.stream_pace.entry(service.to_owned()).or_default())
+        match observations.stream_pace.get_mut(service) {
+            Some(pace) => update(pace),
+            None => update(observations.stream_pace.entry(service.to_owned()).or_default()),
+        }
     }
 
     /// Creates a rejection for a request that no backend has run.
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -179,7 +179,8 @@
         );
         if let Some(pauses) = self.pauses.as_ref().and_then(PauseMeter::measured) {
             log::info!(request = self.call.attempt_id.as_str(),
-                first_event_ms = self.first_event_ms, longest_pause_ms = pauses.longest_ms as u64, mean_pause_ms = pauses.mean_ms as u64,
+                first_event_ms = self.first_event_ms,
+                longest_pause_ms = pauses.longest_ms as u64, mean_pause_ms = pauses.mean_ms as u64,
                 running = pauses.running as u64; "stream ended");
             self.gateway.record_stream(&self.call, pauses);
         }
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -39,10 +39,6 @@
 }
 
 impl Turns {
-    fn is_empty(&self, service: &str) -> bool {
-        self.0.borrow().get(service).is_none_or(|turns| turns.queue.is_empty())
-    }
-
     fn join(&self, service: &str, request: Waiting, interval_ms: f64) -> Option<Turn> {
         let mut services = self.0.borrow_mut();
         let turns = services.entry(service.to_owned()).or_default();
@@ -107,10 +103,10 @@
         tried: &[FleetKey],
     ) -> Result<Placement, Rejection> {
         let service = &call.service().name;
-        let may_wait = call.service().engine.is_some();
         self.record_arrival(service);
+        let may_wait = call.service().engine.is_some();
         let mut full = None;
-        if !may_wait || self.turns.is_empty(service) {
+        if !may_wait || self.turns.count(service) == 0 {
             match self.place(call, tried) {
                 Err(PlacementError::Full(backends)) => full = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
@@ -118,9 +114,11 @@
             }
         }
         let interval_ms = self.release_interval_ms(call);
+        if !may_wait {
+            return Err(self.full_rejection(call, full, interval_ms));
+        }
         let waiting = self.waiting(call, relay, !tried.is_empty());
-        let turn = may_wait.then(|| self.turns.join(service, waiting, interval_ms)).flatten();
-        let Some(turn) = turn else {
+        let Some(turn) = self.turns.join(service, waiting, interval_ms) else {
             return Err(self.full_rejection(call, full, interval_ms));
         };
         let wait = Duration::from_millis(waiting.until_ms - waiting.since_ms);
