--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -10,7 +10,7 @@
 use currantlink_core::ids::WorkspaceName;
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_platform::request::{self, BackendRequest};
-use currantlink_platform::response::{self, NamedRate, ResponseMetadata};
+use currantlink_platform::response::{self, NamedRate, RequestedPause, ResponseMetadata};
 use http::{Method, Response};
 
 use crate::clock::now_ms;
@@ -191,6 +191,7 @@
         };
         let head = request::encode_head(&self.backend_request(call, member, relay, last_event_id));
         let body = call.body.as_deref().unwrap_or_default();
+        self.log_suspect(call, &member.id);
         relay.record_dispatch();
         call.progress.record_dispatch(key);
         let sent_at_ms = now_ms();
@@ -231,6 +232,7 @@
         });
         match &response.metadata {
             metadata if metadata.not_run => {
+                log_refusal(call, &member.id, metadata);
                 let misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
                 self.drain_refusal(call, response).await;
                 match misdirected {
@@ -421,6 +423,23 @@
     }
 }
 
+/// Logs that a backend did not run a request, and the pause that it requests.
+fn log_refusal(call: &Call, backend: &str, metadata: &ResponseMetadata) {
+    let pause_ms = match metadata.pause {
+        RequestedPause::None => None,
+        RequestedPause::For(pause) => Some(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)),
+        RequestedPause::Invalid => {
+            log::warn!(backend; "backend requests an invalid pause");
+            None
+        }
+    };
+    if metadata.pause != RequestedPause::None {
+        metrics::counter!("currantlink_requested_pauses_total").increment(1);
+    }
+    log::info!(request = call.attempt_id.as_str(), backend, status = metadata.status.as_u16(),
+        pause_ms; "request refused by a backend");
+}
+
 /// Builds the caller's response from a backend's, without hop-by-hop headers and `content-length`.
 pub(crate) fn caller_response(head: &Head, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -126,6 +126,16 @@
         ledger.is_unsent = true;
     }
 
+    /// Returns the largest number of crashes that something of the request is a suspect of.
+    pub fn crash_count(&self, request: RequestKeys<'_>) -> usize {
+        let ledger = self.lock();
+        let Some(ServiceSuspects { parts, requests }) = ledger.services.get(request.service) else {
+            return 0;
+        };
+        let by_part = request.parts.iter().map(|&part| parts.crash_count(part)).max();
+        by_part.unwrap_or_default().max(requests.crash_count(request.fingerprint))
+    }
+
     /// Returns whether something of the request is a suspect of a crash.
     pub fn is_suspect(&self, request: RequestKeys<'_>) -> bool {
         let ledger = self.lock();
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -168,6 +168,17 @@
         }
     }
 
+    /// Logs that a request is sent although something of it was in flight at crashes.
+    pub(crate) fn log_suspect(&self, call: &Call, backend: &str) {
+        let crashes = self.crashes.crash_count(call.keys());
+        if crashes > 0 {
+            log::info!(request = call.attempt_id.as_str(), backend, crashes,
+                fingerprint:% = call.fingerprint, prompt_parts = call.prompt_parts_text();
+                "request sent although it may crash the backend");
+            metrics::counter!("currantlink_suspects_sent_total").increment(1);
+        }
+    }
+
     /// Connects to a backend to find out whether its process still listens.
     async fn check_backend(&self, key: FleetKey) -> BackendState {
         let snapshot = self.snapshot.load();
