--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -443,6 +443,15 @@
     check(Day { crashing_per_s: 3.0, ..REPEATED }, 20);
 }
 
+#[test]
+fn large_share() {
+    let day = Day { answer_ms: (400, 1_000), backends: 12, is_group: true, ..REPEATED };
+    check(Day { crashing_per_s: 10.0, sound_per_s: 60.0, ..day }, 10);
+    check(Day { crashing_per_s: 40.0, sound_per_s: 120.0, ..day }, 10);
+    check(Day { crashing_per_s: 20.0, sound_per_s: 60.0, gateways: 34, ..day }, 5);
+    check(Day { crashing_per_s: 2.0, ..REPEATED }, 20);
+}
+
 #[test]
 fn repeated_sound() {
     let day = Day { crashing_parts: 0, crashing_per_s: 0.0, ..REPEATED };
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -86,6 +86,15 @@
     pub body: Vec<u8>,
 }
 
+/// A request that was received, whether it was run or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Value of the attempt ID header.
+    pub attempt_id: String,
+    /// Time of arrival.
+    pub at: Instant,
+}
+
 /// What the requests have in common that crash a backend when it begins to run them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashTrigger {
@@ -117,7 +126,8 @@
     client_disconnects: u64,
     active: u32,
     named_rate: Option<String>,
-    arrived_at: Vec<Instant>,
+    requested_pause: Option<String>,
+    arrived: Vec<Arrival>,
     queued_since: Vec<Instant>,
 }
 
@@ -272,9 +282,19 @@
         self.state().arrivals
     }
 
+    /// Returns the requests that were received, in order.
+    pub fn arrived(&self) -> Vec<Arrival> {
+        self.state().arrived.clone()
+    }
+
     /// Returns when each request was received.
     pub fn arrival_times(&self) -> Vec<Instant> {
-        self.state().arrived_at.clone()
+        self.state().arrived.iter().map(|arrival| arrival.at).collect()
+    }
+
+    /// Makes the backend refuse all requests and request a pause, until `None` is passed.
+    pub fn request_pause(&self, pause: Option<&str>) {
+        self.state().requested_pause = pause.map(str::to_owned);
     }
 
     /// Sets the request rate that all following responses name, if any.
@@ -326,7 +346,7 @@
         let fault = {
             let mut state = self.state();
             state.arrivals += 1;
-            state.arrived_at.push(Instant::now());
+            state.arrived.push(Arrival { attempt_id: id.clone(), at: Instant::now() });
             state.faults.pop_front().unwrap_or(Fault::None)
         };
         let rate = self.state().named_rate.clone();
@@ -337,6 +357,16 @@
                 .await?;
             return Ok(true);
         }
+        let pause = self.state().requested_pause.clone();
+        if let Some(pause) = pause {
+            let headers = [
+                (names::NOT_RUN, "1"),
+                (names::ATTEMPT_ID, id.as_str()),
+                (names::PAUSE_S, pause.as_str()),
+            ];
+            write_response(stream, "503 Service Unavailable", &headers, b"").await?;
+            return Ok(true);
+        }
         if fault == Fault::Refuse {
             let headers = [(names::NOT_RUN, "1"), (names::ATTEMPT_ID, id.as_str())];
             let headers: Vec<_> = headers.into_iter().chain(rate_header).collect();
