Send requests that may crash backends one at a time until a trial tells

What callers saw: requests of one kind crashed backend after backend, for 13 s and up to nine crashes, and streaming routes served almost nothing meanwhile.

Cause: suspicion restrained only retries. The verdict waits for evidence that chance does not explain; the larger the share of the requests with the key, or the more backends are lost beside it, the more crashes that takes, and until then each gateway sends all it has. Ruled out by the logs: evidence that does not arrive (all gateways had it within 70 ms).

Change: from the first crash on, requests with a suspect are trials, one at a time in the deployment; one gateway a key, by hash, grants them. An answer acquits; crashed trials convict by how unlikely they are by chance. A fingerprint is guilty by other evidence only with crashed trials, and requests that waited for a backend are judged again.

parallel_crashes failed with 76, 80 and 77 late requests of 3 allowed and passes; large_share, frequent_crashes, frequent_repeats and frequent_waves failed and pass.

--- a/core/src/evidence.rs
+++ b/core/src/evidence.rs
@@ -19,6 +19,13 @@
 const DOWN_MS: i64 = 4_000;
 /// Time for which crashes count that a key does not explain.
 const HISTORY_MS: i64 = 300_000;
+/// Minimum evidence of the trials of a key that convicts it without other evidence.
+const MIN_TRIAL_EVIDENCE: f64 = 7.0;
+/// Evidence that a trial must exceed to count against its key. Keys that have many trials would be
+/// convicted by chance otherwise.
+const TRIAL_COST: f64 = 1.0;
+/// Least share of requests that are assumed to end in crashes by chance.
+const MIN_MORTALITY: f64 = 0.001;
 
 /// Identifies the end of one process of a backend.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, From)]
@@ -43,6 +50,10 @@
     /// Minimum number of different requests that were in flight at them. It tells a key that several
     /// requests share from a request that crashes backends for another reason.
     pub min_requests: usize,
+    /// Time for which a trial is exposed to crashes that its request does not cause.
+    pub trial_ms: u64,
+    /// Minimum evidence of its trials.
+    pub min_trial_evidence: f64,
     /// Minimum of the negative logarithm of the probability that its requests were at backends that
     /// crashed by chance.
     pub min_exposure: f64,
@@ -65,6 +76,8 @@
     settle_ms: 600,
     min_crashes: 3,
     min_requests: 3,
+    trial_ms: 1_000,
+    min_trial_evidence: f64::NEG_INFINITY,
     min_exposure: 2.5,
     min_presence: 6.0,
     min_sole_presence: 9.0,
@@ -79,6 +92,8 @@
     settle_ms: 200,
     min_crashes: 3,
     min_requests: 3,
+    trial_ms: 100,
+    min_trial_evidence: 5.0,
     min_exposure: 1.5,
     min_presence: 3.0,
     min_sole_presence: 4.0,
@@ -93,6 +108,9 @@
     /// One more crash would make the key guilty.
     #[display("suspected")]
     Suspected,
+    /// Backends have crashed in trials of the key. It is tried again after some time.
+    #[display("convicted")]
+    Convicted,
     /// The key crashes backends.
     #[display("guilty")]
     Guilty,
@@ -104,6 +122,19 @@
     pub(crate) share: f64,
     pub(crate) mortality: f64,
     pub(crate) requests: IndexSet<Fingerprint>,
+    pub(crate) is_trial: bool,
+}
+
+impl Sighting {
+    /// Returns how much the crash of a trial speaks against the key: the negative logarithm of the
+    /// probability that a trial ends so by chance, less [`TRIAL_COST`]. A crash that was no trial does
+    /// not count.
+    pub(crate) fn trial_evidence(&self) -> f64 {
+        match self.is_trial {
+            true => -self.mortality.clamp(MIN_MORTALITY, 1.0).ln() - TRIAL_COST,
+            false => 0.0,
+        }
+    }
 }
 
 /// A crash with the keys in flight at it.
@@ -123,6 +154,11 @@
         self.suspects.iter().filter(is_live).map(|(key, sighting)| (*key, sighting))
     }
 
+    /// Returns whether a key is a suspect that has not been acquitted.
+    pub(crate) fn is_open(&self, key: K) -> bool {
+        self.suspects.contains_key(&key) && !self.acquitted.contains(&key)
+    }
+
     pub(crate) fn count_requests(&mut self) {
         let requests = self.suspects.values().flat_map(|sighting| &sighting.requests);
         self.request_count = requests.collect::<IndexSet<_>>().len();
@@ -135,6 +171,8 @@
     crashes: IndexSet<CrashId>,
     first_at_ms: i64,
     requests: IndexSet<Fingerprint>,
+    /// Evidence of its trials.
+    trial_evidence: f64,
     /// Number of episodes, each by the share of its crashes at which the key was in flight.
     episodes: f64,
     /// Sums over the crashes of the share of the requests that have the key, and of the probability
@@ -156,7 +194,7 @@
     /// Returns the negative logarithm of the probability that as many requests without the key end in
     /// crashes.
     fn mortality(&self) -> f64 {
-        let mortality = (self.mortality_sum / self.crashes.len() as f64).clamp(0.001, 1.0);
+        let mortality = (self.mortality_sum / self.crashes.len() as f64).clamp(MIN_MORTALITY, 1.0);
         -mortality.ln() * self.requests.len() as f64
     }
 
@@ -221,16 +259,33 @@
         let mut explained = IndexSet::new();
         loop {
             let cases = self.cases(&explained);
+            let is_refusable = |case: &Case| case.mean_share() <= self.policy.max_refused_share;
             let is_guilty = |(key, case): &(&K, &Case)| {
                 self.suffices(case, 0)
-                    && case.mean_share() <= self.policy.max_refused_share
+                    && is_refusable(case)
                     && case.first_at_ms + MIN_AGE_MS <= self.now_ms
                     && self.is_only_explanation(&cases, **key, case)
             };
+            let is_convicted = |(key, case): &(&K, &Case)| {
+                case.trial_evidence >= MIN_TRIAL_EVIDENCE
+                    && is_refusable(case)
+                    && !self.has_better_explanation(&cases, **key, case)
+            };
             let guilty = cases.iter().filter(is_guilty);
-            match guilty.max_by(|(_, a), (_, b)| a.presence.total_cmp(&b.presence)) {
+            let guilty = guilty.max_by(|(_, a), (_, b)| a.presence.total_cmp(&b.presence));
+            let convicted = || {
+                let convicted = cases.iter().filter(is_convicted);
+                // The rarer of two keys explains the same crashes better.
+                let rank = |case: &Case| (case.crashes.len(), case.presence);
+                convicted.max_by(|(_, a), (_, b)| {
+                    let (a, b) = (rank(a), rank(b));
+                    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                })
+            };
+            let standing = if guilty.is_some() { Standing::Guilty } else { Standing::Convicted };
+            match guilty.or_else(convicted) {
                 Some((&key, case)) => {
-                    standings.insert(key, Standing::Guilty);
+                    standings.insert(key, standing);
                     explained.extend(case.crashes.iter().copied());
                 }
                 None => {
@@ -262,6 +317,7 @@
                     let case = cases.entry(key).or_insert(Case { first_at_ms, ..Case::default() });
                     case.crashes.insert(*id);
                     case.requests.extend(&sighting.requests);
+                    case.trial_evidence += sighting.trial_evidence();
                     case.share_sum += sighting.share;
                     case.mortality_sum += sighting.mortality;
                     case.presence_sum += 1.0 - (1.0 - sighting.share).powf(requests);
@@ -285,11 +341,12 @@
     /// Returns whether a key is guilty by the evidence and by `missing` more crashes.
     fn suffices(&self, case: &Case, missing: usize) -> bool {
         let Policy { min_crashes, min_requests, min_exposure, min_presence, .. } = *self.policy;
-        let min_sole_presence = self.policy.min_sole_presence;
+        let Policy { min_trial_evidence, min_mortality, min_sole_presence, .. } = *self.policy;
         let known = 1.0 - missing as f64 / min_crashes as f64;
         case.crashes.len() + missing >= min_crashes
             && case.requests.len() + missing >= min_requests
-            && case.mortality() >= self.policy.min_mortality * known
+            && case.trial_evidence >= min_trial_evidence * known
+            && case.mortality() >= min_mortality * known
             && (case.exposure >= min_exposure * known && case.presence >= min_presence * known
                 || case.presence >= min_sole_presence)
     }
@@ -307,6 +364,15 @@
         }
     }
 
+    /// Returns whether another key explains the crashes of a key and more.
+    fn has_better_explanation(&self, cases: &IndexMap<K, Case>, key: K, case: &Case) -> bool {
+        let explains_more = |other: &Case| {
+            other.crashes.len() > case.crashes.len()
+                && case.crashes.iter().all(|id| other.crashes.contains(id))
+        };
+        cases.iter().any(|(other, case)| *other != key && explains_more(case))
+    }
+
     /// Returns the crashes by episode. An episode begins with the first crash after the last one.
     fn episodes(&self) -> Vec<Episode<'_, K>> {
         let mut episodes = Vec::<Episode<'_, K>>::new();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -52,4 +52,5 @@
 pub mod suspects;
 pub mod switch;
 pub mod ticket;
+pub mod trials;
 pub mod turns;
--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -7,6 +7,8 @@
     CrashId, CrashReport, PROMPT_PARTS, Policy, REPEATED_REQUESTS, Standing, Suspect, Suspects,
     Verdict, prober,
 };
+use currantlink_core::trials::{Applicant, Granter, Requests, TrialEnd, TrialId};
+use indexmap::IndexSet;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -28,6 +30,9 @@
 const KNOWN_AFTER_MS: u64 = 3_000;
 const LATE: usize = 3;
 const FIRST_CRASHING_PART: u64 = 1_000_000;
+/// Time for which a request waits for a trial, and for which a message about trials is on its way.
+const TRIAL_WAIT_MS: u64 = 400;
+const TRIAL_MESSAGE_MS: u64 = 10;
 
 /// What happens on a simulated day.
 #[derive(Clone, Copy)]
@@ -83,8 +88,20 @@
     ..CALM
 };
 
+/// A message about trials, from one gateway to another.
+#[derive(Clone, Copy)]
+enum TrialMessage {
+    Ask(TrialId),
+    Grant(TrialId),
+    End(TrialId, TrialEnd),
+}
+
 struct Gateway {
     suspects: Suspects<PromptPart>,
+    granter: Granter,
+    applicant: Applicant,
+    /// Messages about trials, each with its time and sender.
+    trial_inbox: Vec<(u64, usize, TrialMessage)>,
     inbox: Vec<(u64, Vec<CrashReport<PromptPart>>)>,
     crash_seen_at_ms: Option<u64>,
     is_unsent: bool,
@@ -97,6 +114,9 @@
     fingerprint: Fingerprint,
     parts: Vec<PromptPart>,
     has_crashed: bool,
+    arrived_at_ms: u64,
+    /// Trials that the request has begun.
+    trials: IndexSet<TrialId>,
     sent_at_ms: u64,
     first_event_ms: u64,
     ends_ms: u64,
@@ -133,6 +153,10 @@
     rng: StdRng,
     gateways: Vec<Gateway>,
     backends: Vec<Backend>,
+    /// Names of the gateways.
+    names: Vec<String>,
+    /// Requests that wait for trials.
+    waiting: Vec<Request>,
     crash_times: std::collections::BTreeMap<PromptPart, Vec<u64>>,
     outcome: Outcome,
 }
@@ -141,6 +165,9 @@
     fn new(day: Day, seed: u64) -> Self {
         let gateway = |_| Gateway {
             suspects: Suspects::new(day.policy),
+            granter: Granter::default(),
+            applicant: Applicant::default(),
+            trial_inbox: Vec::new(),
             inbox: Vec::new(),
             crash_seen_at_ms: None,
             is_unsent: false,
@@ -151,6 +178,8 @@
             rng: StdRng::seed_from_u64(seed),
             gateways: (0..day.gateways).map(gateway).collect(),
             backends: (0..day.backends).map(|_| Backend::default()).collect(),
+            names: (0..day.gateways).map(|index| format!("gateway-{index}")).collect(),
+            waiting: Vec::new(),
             crash_times: Default::default(),
             outcome: Outcome::default(),
         }
@@ -161,11 +190,15 @@
             self.receive(now_ms);
             self.end_requests(now_ms);
             self.mass_crash(now_ms);
+            self.exchange_trials(now_ms);
+            for request in std::mem::take(&mut self.waiting) {
+                self.dispatch(request, now_ms);
+            }
             let (sound, crashing) = (self.day.sound_per_s, self.day.crashing_per_s);
             for (per_s, crashes) in [(sound, false), (crashing, true)] {
                 let expected = per_s * STEP_MS as f64 / 1_000.0;
                 for _ in 0..(expected + self.rng.random::<f64>()) as usize {
-                    let request = self.new_request(crashes);
+                    let request = self.new_request(crashes, now_ms);
                     self.dispatch(request, now_ms);
                 }
             }
@@ -174,7 +207,7 @@
         self.outcome
     }
 
-    fn new_request(&mut self, crashes: bool) -> Request {
+    fn new_request(&mut self, crashes: bool, arrived_at_ms: u64) -> Request {
         let rng = &mut self.rng;
         let route = rng.random_range(0..3);
         let mut parts = match self.day.policy.max_refused_share < 1.0 {
@@ -194,6 +227,8 @@
             fingerprint,
             parts,
             has_crashed,
+            arrived_at_ms,
+            trials: IndexSet::new(),
             sent_at_ms: 0,
             first_event_ms: 0,
             ends_ms: 0,
@@ -202,7 +237,8 @@
 
     fn dispatch(&mut self, mut request: Request, now_ms: u64) {
         let gateway = &mut self.gateways[request.gateway];
-        if !request.has_crashed {
+        let is_new = request.arrived_at_ms == now_ms;
+        if !request.has_crashed && is_new {
             gateway.suspects.record_arrival(request.parts.iter().copied());
         }
         let verdict = gateway.suspects.judge(request.parts.iter().copied(), |_| false, now_ms);
@@ -212,17 +248,32 @@
             .filter(|&index| self.backends[index].stalled_at_ms.is_none())
             .collect();
         let is_first = !request.has_crashed;
-        if crashing_part.is_none() && is_first && !up.is_empty() {
+        if crashing_part.is_none() && is_first && is_new && !up.is_empty() {
             self.outcome.sound_offered += 1;
         }
         match verdict {
             Verdict::Refused { .. } => {
                 self.outcome.sound_refused += usize::from(crashing_part.is_none());
-                return;
+                return self.end_trials(&mut request, TrialEnd::Over, now_ms);
             }
-            Verdict::Suspected if request.has_crashed => return,
-            _ if up.is_empty() => return,
-            _ => {}
+            Verdict::Suspected if request.has_crashed => {
+                return self.end_trials(&mut request, TrialEnd::Over, now_ms);
+            }
+            _ if up.is_empty() => return self.end_trials(&mut request, TrialEnd::Over, now_ms),
+            Verdict::Trial | Verdict::Suspected => {
+                let gateway = &mut self.gateways[request.gateway];
+                let parts = request.parts.iter().copied();
+                let suspects = parts.filter(|&part| gateway.suspects.needs_trial(part));
+                let ids: Vec<TrialId> = suspects.map(|part| TrialId(part.0)).collect();
+                if !gateway.applicant.try_begin_all(&mut request.trials, ids, now_ms) {
+                    match now_ms < request.arrived_at_ms + TRIAL_WAIT_MS {
+                        true => self.waiting.push(request),
+                        false => self.end_trials(&mut request, TrialEnd::Over, now_ms),
+                    }
+                    return;
+                }
+            }
+            Verdict::Unsuspected => {}
         }
         if let Some(part) = crashing_part {
             let last =
@@ -259,9 +310,18 @@
                 None => {
                     let backend = &mut self.backends[index];
                     let is_over = |request: &mut Request| request.ends_ms <= now_ms;
-                    for request in backend.running.extract_if(.., is_over) {
+                    let over = backend.running.extract_if(.., is_over).collect::<Vec<_>>();
+                    let has_begun = |r: &&mut Request| r.first_event_ms + BEGUN_MS <= now_ms;
+                    let begun = backend.running.iter_mut().filter(has_begun);
+                    let mut begun: Vec<_> =
+                        begun.map(|r| (r.gateway, std::mem::take(&mut r.trials))).collect();
+                    for request in over {
                         let gateway = &mut self.gateways[request.gateway];
                         gateway.suspects.record_answer(&request.parts, now_ms);
+                        begun.push((request.gateway, request.trials));
+                    }
+                    for (gateway, trials) in begun {
+                        self.send_trial_ends(gateway, trials, TrialEnd::Over, now_ms);
                     }
                 }
                 Some(at_ms) if at_ms + STALL_MS <= now_ms => self.cut_off(index, at_ms),
@@ -274,11 +334,76 @@
     fn cut_off(&mut self, index: usize, stalled_at_ms: u64) {
         let backend = &mut self.backends[index];
         backend.stalled_at_ms = None;
-        for request in std::mem::take(&mut backend.running) {
+        let now_ms = stalled_at_ms + STALL_MS;
+        for mut request in std::mem::take(&mut backend.running) {
             if request.first_event_ms + BEGUN_MS <= stalled_at_ms {
                 let gateway = &mut self.gateways[request.gateway];
                 gateway.suspects.record_begun(&request.parts, request.sent_at_ms);
             }
+            self.end_trials(&mut request, TrialEnd::Over, now_ms);
+        }
+    }
+
+    fn end_trials(&mut self, request: &mut Request, end: TrialEnd, now_ms: u64) {
+        let trials = std::mem::take(&mut request.trials);
+        self.send_trial_ends(request.gateway, trials, end, now_ms);
+    }
+
+    fn send_trial_ends(
+        &mut self,
+        gateway: usize,
+        trials: IndexSet<TrialId>,
+        end: TrialEnd,
+        now_ms: u64,
+    ) {
+        for id in trials {
+            self.gateways[gateway].applicant.end(id);
+            let granter = self.granter(id);
+            self.send_trial(gateway, granter, TrialMessage::End(id, end), now_ms);
+        }
+    }
+
+    /// Returns the gateway that grants trials of a key.
+    fn granter(&self, id: TrialId) -> usize {
+        let name = prober(id.0, &self.names).unwrap();
+        self.names.iter().position(|other| other == name).unwrap()
+    }
+
+    fn send_trial(&mut self, from: usize, to: usize, message: TrialMessage, now_ms: u64) {
+        if from == to || !self.rng.random_bool(self.day.loss) {
+            let due_ms = now_ms + if from == to { 0 } else { TRIAL_MESSAGE_MS };
+            self.gateways[to].trial_inbox.push((due_ms, from, message));
+        }
+    }
+
+    fn exchange_trials(&mut self, now_ms: u64) {
+        for index in 0..self.gateways.len() {
+            let gateway = &mut self.gateways[index];
+            let is_due = |message: &mut (u64, _, _)| message.0 <= now_ms;
+            let received: Vec<_> = gateway.trial_inbox.extract_if(.., is_due).collect();
+            let Requests { asked, returned } = gateway.applicant.due(now_ms);
+            for (_, from, message) in received {
+                let gateway = &mut self.gateways[index];
+                match message {
+                    TrialMessage::Ask(id) if gateway.granter.ask(id, from as u64, now_ms) => {
+                        self.send_trial(index, from, TrialMessage::Grant(id), now_ms);
+                    }
+                    TrialMessage::Ask(_) => {}
+                    TrialMessage::Grant(id) if !gateway.applicant.record_grant(id) => {
+                        let end = TrialMessage::End(id, TrialEnd::Over);
+                        self.send_trial(index, from, end, now_ms);
+                    }
+                    TrialMessage::Grant(_) => {}
+                    TrialMessage::End(id, end) => gateway.granter.end(id, from as u64, end, now_ms),
+                }
+            }
+            for id in asked {
+                self.send_trial(index, self.granter(id), TrialMessage::Ask(id), now_ms);
+            }
+            for id in returned {
+                let end = TrialMessage::End(id, TrialEnd::Over);
+                self.send_trial(index, self.granter(id), end, now_ms);
+            }
         }
     }
 
@@ -300,10 +425,12 @@
         for mut request in std::mem::take(&mut backend.running) {
             let gateway = &mut self.gateways[request.gateway];
             let (backends, parts) = (self.day.backends as u32, request.parts.iter().copied());
-            gateway.suspects.record_crash(id, backends, request.fingerprint, parts, now_ms);
+            let (fingerprint, is_trial) = (request.fingerprint, !request.trials.is_empty());
+            gateway.suspects.record_crash(id, backends, fingerprint, parts, is_trial, now_ms);
             (gateway.crash_seen_at_ms, gateway.is_unsent) = (Some(now_ms), true);
+            self.end_trials(&mut request, TrialEnd::Crashed, now_ms);
             if !request.has_crashed {
-                request.has_crashed = true;
+                (request.has_crashed, request.arrived_at_ms) = (true, now_ms);
                 self.dispatch(request, now_ms);
             }
         }
@@ -478,7 +605,13 @@
 
 fn report(id: u64, age_ms: u64, requests: &[u64]) -> CrashReport<PromptPart> {
     let requests = requests.iter().copied().map(Fingerprint).collect();
-    let suspects = vec![Suspect { key: PromptPart(1), share: 0.01, mortality: 0.1, requests }];
+    let suspects = vec![Suspect {
+        key: PromptPart(1),
+        share: 0.01,
+        mortality: 0.1,
+        requests,
+        is_trial: false,
+    }];
     CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
 }
 
@@ -492,6 +625,7 @@
         share,
         mortality: 0.1,
         requests: vec![Fingerprint::of(&[&id.to_le_bytes(), &key.0.to_le_bytes()])],
+        is_trial: false,
     };
     let suspects = keys.iter().map(suspect).collect();
     CrashReport { id: CrashId(id), age_ms, backends: 12, suspects, acquitted: Vec::new() }
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -115,12 +115,19 @@
             if call.remaining().is_zero() {
                 return Err(self.deadline_rejection(call, relay));
             }
-            self.check_suspicion(call, relay)?;
+            self.begin_trial(call, relay).await?;
             let placement = match self.place_in_turn(call, relay, tried).await {
                 Ok(placement) => placement,
                 Err(_) if relay.may_have_run() => return Err(Rejection::ResponseLost),
                 Err(rejection) => return Err(rejection),
             };
+            // Crashes may have become known while the request waited.
+            if self.must_wait_for_trial(call) {
+                continue;
+            }
+            if call.trial.borrow().is_none() {
+                self.check_suspicion(call, relay)?;
+            }
             tried.push(placement.key);
             let (outcome, failure) = match self.attempt(call, relay, placement, last_event_id).await
             {
--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -9,6 +9,7 @@
 use currantlink_core::suspects::{
     self, CrashId, CrashReport, Standing, StandingChange, Suspect, Suspects, Verdict,
 };
+use currantlink_core::trials::TrialId;
 use currantlink_wire::peers;
 use indexmap::IndexMap;
 use rand::random_range;
@@ -113,15 +114,47 @@
         by_parts.max(by_request)
     }
 
-    /// Records that one of `backends` backends crashed while it had a request.
-    pub fn record_crash(&self, backend: &Member, backends: u32, request: RequestKeys<'_>) {
+    /// Returns whether requests like this one are refused. One of them may be sent as a probe.
+    pub fn is_refused(&self, request: RequestKeys<'_>) -> bool {
+        let ledger = self.lock();
+        ledger.services.get(request.service).is_some_and(|suspects| {
+            let is_refused = |standing| standing >= Some(Standing::Convicted);
+            request.parts.iter().any(|&part| is_refused(suspects.parts.standing(part)))
+                || is_refused(suspects.requests.standing(request.fingerprint))
+        })
+    }
+
+    /// Returns the trials that a request must be for what it has in common with requests at crashes.
+    pub fn trial_ids(&self, request: RequestKeys<'_>) -> Vec<TrialId> {
+        let mut ledger = self.lock();
+        let Some(ServiceSuspects { parts, requests }) = ledger.services.get_mut(request.service)
+        else {
+            return Vec::new();
+        };
+        let id = |kind, key| TrialId::of(request.service, kind, key);
+        let needed = request.parts.iter().filter(|&&part| parts.needs_trial(part));
+        let by_part = needed.map(|part| id(PROMPT_PART, part.0));
+        let by_request = requests.needs_trial(request.fingerprint);
+        by_part.chain(by_request.then(|| id(REQUEST, request.fingerprint.0))).collect()
+    }
+
+    /// Records that one of `backends` backends crashed while it had a request. `is_trial` tells whether
+    /// the request was a trial.
+    pub fn record_crash(
+        &self,
+        backend: &Member,
+        backends: u32,
+        request: RequestKeys<'_>,
+        is_trial: bool,
+    ) {
         let id = CrashId::of(&backend.id, backend.announcement.started_at_ms);
         let RequestKeys { service, parts, fingerprint, attempt } = request;
         let mut ledger = self.lock();
         let suspects = ledger.service(service);
         let now = now_ms();
-        suspects.parts.record_crash(id, backends, fingerprint, parts.iter().copied(), now);
-        suspects.requests.record_crash(id, backends, attempt, [fingerprint], now);
+        let parts = parts.iter().copied();
+        suspects.parts.record_crash(id, backends, fingerprint, parts, is_trial, now);
+        suspects.requests.record_crash(id, backends, attempt, [fingerprint], is_trial, now);
         ledger.crash_seen_at_ms = Some(now);
         ledger.is_unsent = true;
     }
@@ -177,6 +210,11 @@
         }
     }
 
+    /// Returns whether a crash was found here that no other gateway has been told of.
+    pub fn is_unsent(&self) -> bool {
+        self.lock().is_unsent
+    }
+
     /// Returns which gateways are to be told now. `is_interval` tells whether the interval between
     /// repeated messages has passed.
     pub fn audience(&self, is_interval: bool) -> Option<Audience> {
@@ -304,6 +342,7 @@
         share: suspect.share,
         mortality: suspect.mortality,
         requests: suspect.requests.into_iter().map(Fingerprint).collect(),
+        is_trial: suspect.is_trial,
     };
     CrashReport {
         id,
@@ -320,6 +359,7 @@
         share: suspect.share,
         mortality: suspect.mortality,
         requests: suspect.requests.into_iter().map(u64::from).collect(),
+        is_trial: suspect.is_trial,
     }
 }
 
@@ -332,8 +372,10 @@
     for StandingChange { key, now, .. } in changes {
         let crashes = suspects.crash_count(*key);
         match now {
-            Some(Standing::Guilty) => log::warn!(service, kind, key:%, crashes;
-                "requests crash backends and are refused"),
+            Some(Standing::Convicted | Standing::Guilty) => {
+                log::warn!(service, kind, key:%, crashes;
+                "requests crash backends and are refused")
+            }
             Some(Standing::Suspected) => log::info!(service, kind, key:%, crashes;
                 "requests are suspected of crashing backends"),
             None => log::info!(service, kind, key:%, crashes; "requests are no longer suspected"),
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -2,6 +2,7 @@
 //! backends. See [`currantlink_core::suspects`].
 
 use std::io;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use currantlink_core::fleet::FleetKey;
@@ -12,12 +13,15 @@
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
+use crate::trials::Trial;
 use crate::upstream::{Framing, Upstream, UpstreamError};
 
 /// Timeout of the connection that shows whether a backend's process still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a backend that refused a connection is not tried again.
 const REFUSED_PAUSE_MS: u64 = 1_000;
+/// Longest time after which a request that waits for a trial looks again.
+const TRIAL_POLL: Duration = Duration::from_millis(100);
 /// Length of an unfinished answer that shows that its request does not crash the backend. Requests
 /// that do crash it within a few tokens.
 const SOUND_ANSWER: Duration = Duration::from_secs(1);
@@ -69,7 +73,8 @@
         self.first_event_at.is_some()
     }
 
-    fn has_begun(&self) -> bool {
+    /// Returns whether the answer speaks for its request if it breaks off.
+    pub fn has_begun(&self) -> bool {
         self.length >= BEGUN_ANSWER
     }
 }
@@ -143,6 +148,72 @@
     /// Records that a request does not crash backends.
     pub(crate) fn record_sound(&self, call: &Call) {
         self.crashes.record_answer(call.keys());
+        self.end_trial(call);
+    }
+
+    /// Ends the trial of a request, if it is one: others with the same key may be sent.
+    pub(crate) fn end_trial(&self, call: &Call) {
+        call.trial.take();
+        self.trials.wake_waiting();
+    }
+
+    /// Waits until a request may be sent as a trial, if requests like it may crash backends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if requests like it are refused, or if its turn does not come in time.
+    pub(crate) async fn begin_trial(
+        &self,
+        call: &Call,
+        relay: &RetryState,
+    ) -> Result<(), Rejection> {
+        // An earlier attempt may have been a trial.
+        call.trial.take();
+        let mut trial = Trial::new(Arc::clone(&self.trials));
+        let since = tokio::time::Instant::now();
+        let until = call.deadline.min(since + self.trial_wait(call, relay));
+        let is_probe = self.crashes.is_refused(call.keys());
+        self.check_suspicion(call, relay)?;
+        loop {
+            let changed = self.trials.changed();
+            if !is_probe {
+                self.check_suspicion(call, relay)?;
+            }
+            if trial.try_begin_all(self.crashes.trial_ids(call.keys())) {
+                break;
+            }
+            let now = tokio::time::Instant::now();
+            if now >= until {
+                return Err(self.untried_rejection(call, relay));
+            }
+            // An interval without a change has the same effect as a change.
+            drop(tokio::time::timeout_at(until.min(now + TRIAL_POLL), changed).await);
+        }
+        if trial.is_begun() {
+            log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
+                prompt_parts = call.prompt_parts_text(),
+                waited_ms = since.elapsed().as_millis() as u64;
+                "request becomes a trial: requests like it may crash backends");
+            metrics::counter!("currantlink_trials_total").increment(1);
+            call.trial.replace(Some(trial));
+        }
+        Ok(())
+    }
+
+    /// Returns whether a request that is not the trial which it must be by now may be sent.
+    pub(crate) fn must_wait_for_trial(&self, call: &Call) -> bool {
+        let ids = self.crashes.trial_ids(call.keys());
+        !ids.is_empty() && !call.trial.borrow().as_ref().is_some_and(|trial| trial.covers(ids))
+    }
+
+    fn untried_rejection(&self, call: &Call, relay: &RetryState) -> Rejection {
+        log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
+            prompt_parts = call.prompt_parts_text();
+            "another request like this one is on trial");
+        match relay.may_have_run() {
+            true => Rejection::ResponseLost,
+            false => self.not_run_rejection(call, NotRunReason::Suspected),
+        }
     }
 
     /// Rejects a request if requests like it crash backends.
@@ -152,7 +223,7 @@
     /// Fails if the request must not be dispatched.
     pub(crate) fn check_suspicion(&self, call: &Call, relay: &RetryState) -> Result<(), Rejection> {
         let retry_after = match self.crashes.judge(call.keys()) {
-            Verdict::Unsuspected => return Ok(()),
+            Verdict::Unsuspected | Verdict::Trial => return Ok(()),
             Verdict::Suspected if !relay.has_crashed() => return Ok(()),
             Verdict::Suspected => Duration::ZERO,
             Verdict::Refused { for_ms } => Duration::from_millis(for_ms),
@@ -211,10 +282,14 @@
 
     fn record_crash(&self, call: &Call, key: FleetKey) {
         let snapshot = self.snapshot.load();
+        let trial = call.trial.take();
         // A backend that leaves exits by itself.
         if let Some(member) = snapshot.fleet.get(key).filter(|member| !member.leaving) {
             let backends = snapshot.fleet.available(&member.announcement.service).count() as u32;
-            self.crashes.record_crash(member, backends, call.keys());
+            let is_trial = trial.as_ref().is_some_and(Trial::is_begun);
+            self.crashes.record_crash(member, backends, call.keys(), is_trial);
+            trial.into_iter().for_each(Trial::end_with_crash);
+            self.trials.wake_control();
         }
     }
 
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -20,7 +20,7 @@
 use currantlink_wire::peers::{
     BackendRecords, Crashes, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
 };
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::LocalSet;
@@ -41,11 +41,14 @@
 use crate::stop::StopSignals;
 use crate::telemetry;
 use crate::threads::control_thread;
+use crate::trials::SharedTrials;
 use crate::turns;
 use crate::watcher::{self, Update};
 
 /// Interval of periodic tasks, and delay after a failed receive.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from a crash until other gateways are told of it.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// Interval between checks whether all requests are complete, while the process stops.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between evictions of expired connections and removed backends.
@@ -70,6 +73,8 @@
     pub rate_limits: Arc<SharedRateLimits>,
     /// Crashes of backends and their suspects, written by both.
     pub crashes: Arc<CrashLedger>,
+    /// Trials of requests that may crash backends, written by both.
+    pub trials: Arc<SharedTrials>,
 }
 
 /// Runs a gateway until a stop signal arrives.
@@ -83,7 +88,8 @@
     let load_reports = Arc::<LoadReports>::default();
     let rate_limits = Arc::new(SharedRateLimits::new(settings.common.name()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
-    let shared = SharedState { snapshot, load_reports, rate_limits, crashes };
+    let trials = Arc::default();
+    let shared = SharedState { snapshot, load_reports, rate_limits, crashes, trials };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
     control_thread(move || control(control_settings, control_shared))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -249,6 +255,7 @@
     tokio::spawn(backend_follower::follow(store, updates.clone(), records));
     tokio::spawn(watcher::follow_peers(store, own, updates));
     let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: None };
+    let trials = Arc::clone(&shared.trials);
     let mut control = Control::new(peers, shared, readers);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
     loop {
@@ -258,12 +265,19 @@
                 None => return,
             },
             received = control.peers.receive() => match received {
-                Ok((_, message)) => control.handle_message(message),
+                Ok((from, message)) => control.handle_message(from, message).await,
                 Err(error) => {
                     log::warn!(error:% = error; "failed to receive a datagram");
                     tokio::time::sleep(TICK_INTERVAL).await;
                 }
             },
+            () = trials.due() => {
+                control.send_trials().await;
+                // Several requests at a backend that crashes are told of together.
+                if control.shared.crashes.is_unsent() {
+                    tick.reset_after(CRASH_DELAY);
+                }
+            }
             _ = tick.tick() => control.tick().await,
         }
     }
@@ -378,8 +392,13 @@
         }
     }
 
-    fn handle_message(&mut self, message: PeerMessage) {
+    async fn handle_message(&mut self, from: SocketAddr, message: PeerMessage) {
         match message.body {
+            Some(peer_message::Body::Trials(trials)) => {
+                if let Some(response) = self.shared.trials.receive(trials, message.incarnation) {
+                    self.peers.send_all([from], peer_message::Body::Trials(response)).await;
+                }
+            }
             Some(peer_message::Body::Load(load)) => self.record_load(&load),
             Some(peer_message::Body::Hello(hello)) => {
                 self.register_hello(&hello);
@@ -399,6 +418,7 @@
             }
             Some(peer_message::Body::Crashes(Crashes { crashes })) => {
                 self.shared.crashes.learn(crashes);
+                self.shared.trials.wake_waiting();
             }
             Some(peer_message::Body::BackendRecords(records)) => self.readers.deliver(records),
             _ => {}
@@ -450,6 +470,21 @@
             || Hello { config_version, leaving, named_rates: named_rates(), ..Hello::default() };
         self.peers.send_hello(hello).await;
         self.send_crashes(now).await;
+        self.send_trials().await;
+    }
+
+    /// Tells the gateways that grant trials what this one asks for.
+    async fn send_trials(&mut self) {
+        let own = self.peers.own();
+        let (own_name, holder) = (own.name.clone(), own.incarnation);
+        let live = self.peers.live_gateways();
+        let addresses: IndexMap<String, SocketAddr> =
+            live.map(|(peer, address)| (peer.name.clone(), address)).collect();
+        let names = addresses.keys().chain([&own_name]).cloned().collect::<Vec<_>>();
+        for (granter, trials) in self.shared.trials.messages(&names, &own_name, holder) {
+            let body = peer_message::Body::Trials(trials);
+            self.peers.send_all(addresses.get(&granter).copied(), body).await;
+        }
     }
 
     /// Tells other gateways of crashes: all of them of new ones, and some of earlier ones.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod stream_relay;
 pub mod telemetry;
 pub mod threads;
+pub mod trials;
 pub mod turns;
 pub mod uplink;
 pub mod upstream;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -39,6 +39,11 @@
         Ok(Self { socket, membership: Membership::new(own), keys: Vec::new(), buffer })
     }
 
+    /// Returns this process.
+    pub fn own(&self) -> &Peer {
+        self.membership.own()
+    }
+
     /// Sets the key for sent datagrams. Datagrams with the previous key are still accepted.
     pub fn set_key(&mut self, key: LinkKey) {
         const ACCEPTED_KEYS: usize = 2;
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -69,6 +69,9 @@
     /// Requests like this one crash the backends that run them.
     #[display("crashes-backends")]
     CrashesBackends,
+    /// Requests like this one may crash backends, and another one is on trial.
+    #[display("suspected")]
+    Suspected,
     /// The deadline passed before the request was dispatched.
     #[display("deadline")]
     Deadline,
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -41,6 +41,7 @@
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
 use crate::silent::SilentBackends;
 use crate::stream_relay::{self, RelayedStream};
+use crate::trials::{SharedTrials, Trial};
 use crate::turns::Turns;
 use crate::upstream::UpstreamError;
 
@@ -55,6 +56,7 @@
     pub(crate) load_reports: Arc<LoadReports>,
     pub(crate) rate_limits: Arc<SharedRateLimits>,
     pub(crate) crashes: Arc<CrashLedger>,
+    pub(crate) trials: Arc<SharedTrials>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
@@ -115,6 +117,8 @@
     pub(crate) is_client_retry: bool,
     /// How far the request has come, for the log of callers that leave.
     pub(crate) progress: Progress,
+    /// The trial that the request is, if requests like it may crash backends.
+    pub(crate) trial: RefCell<Option<Trial>>,
 }
 
 impl Call {
@@ -152,13 +156,14 @@
 impl Gateway {
     /// Creates a gateway without observations.
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
-        let SharedState { snapshot, load_reports, rate_limits, crashes } = shared;
+        let SharedState { snapshot, load_reports, rate_limits, crashes, trials } = shared;
         Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
             load_reports,
             rate_limits,
             crashes,
+            trials,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
@@ -405,6 +410,7 @@
             urgency: urgency(admitted.priority, is_client_retry),
             is_client_retry,
             progress,
+            trial: RefCell::default(),
             table,
         })
     }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -111,6 +111,9 @@
                     if backend_stream.answer.record_event(Instant::now()) {
                         self.gateway.record_sound(&self.call);
                     }
+                    if backend_stream.answer.has_begun() && self.call.trial.borrow().is_some() {
+                        self.gateway.end_trial(&self.call);
+                    }
                     return Some(Ok(events));
                 }
                 StreamRead::End => {
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -145,12 +145,16 @@
         observations.arrivals.entry(service.to_owned()).or_default().record(now_ms());
     }
 
+    /// Returns how long a request waits for a trial.
+    pub(crate) fn trial_wait(&self, call: &Call, relay: &RetryState) -> Duration {
+        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
+        let left_ms = call.route().target_ms.saturating_sub(elapsed_ms);
+        let waiting = Waiting::new(origin(call, relay), call.urgency, now_ms(), left_ms);
+        Duration::from_millis(waiting.until_ms - waiting.since_ms)
+    }
+
     fn waiting(&self, call: &Call, relay: &RetryState, has_tried: bool) -> Waiting {
-        let origin = match relay.may_have_run() {
-            true => Origin::Moved,
-            false if call.is_client_retry => Origin::Returned,
-            false => Origin::New,
-        };
+        let origin = origin(call, relay);
         let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
         let left_ms =
             call.route().target_ms.saturating_sub(elapsed_ms + self.start_ms(call) as u64);
@@ -158,6 +162,14 @@
     }
 }
 
+fn origin(call: &Call, relay: &RetryState) -> Origin {
+    match relay.may_have_run() {
+        true => Origin::Moved,
+        false if call.is_client_retry => Origin::Returned,
+        false => Origin::New,
+    }
+}
+
 /// Wakes waiting requests when a request of this gateway ends, and at an interval while any wait.
 pub async fn wake_waiting(gateway: Rc<Gateway>) {
     let changed = gateway.pool.changed();
