Keep the pauses that backends request

What was seen: a backend had asked an instance for N seconds without requests and got N requests from it in that time.

Cause: the header of the rejection was not read, and a backend that rejects at once has the fewest requests and attracts more.

The rate limits and the pauses are one place in the daemon, stated_limits. Where all backends pause, callers are told the time at once.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -66,6 +66,14 @@
                 "not run; its backends were at the rate limits that they name, the next one for {} ms",
                 value(last("backends at their rate limits"), "wait_ms")
             ),
+            "not-run: paused" => format!(
+                "not run; its backends have requested pauses, the next one ends in {} ms",
+                value(last("backends have requested pauses"), "wait_ms")
+            ),
+            "not-run: suspected" => format!(
+                "not run; another request like it was on trial for crashes of backends (fingerprint {})",
+                value(last("another request like this one is on trial"), "fingerprint")
+            ),
             "not-run: forming" => {
                 "not run; the group of its backends stood still or was formed again".to_owned()
             }
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use currantlink_core::fleet::{FleetKey, Member};
 use currantlink_core::ids::WorkspaceName;
+use currantlink_core::pauses::UNREADABLE_PAUSE;
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_platform::request::{self, BackendRequest};
 use currantlink_platform::response::{self, NamedRate, RequestedPause, ResponseMetadata};
@@ -196,6 +197,11 @@
                 }
             }
         };
+        if self.stated_limits.is_paused(key) {
+            log::info!(request = call.attempt_id.as_str(), backend = member.id.as_str();
+                "backend has requested a pause since the request was placed");
+            return AttemptEnd::NoResponse(Outcome::NotConnected);
+        }
         let head = request::encode_head(&self.backend_request(call, member, relay, last_event_id));
         let body = call.body.as_deref().unwrap_or_default();
         self.log_suspect(call, &member.id);
@@ -227,6 +233,7 @@
         };
         self.pool.record_heard(key, now_ms());
         self.record_rate(key, &member.id, &metadata, sent_at_ms);
+        self.record_pause(key, &metadata, sent_at_ms);
         let status = metadata.status;
         let response = Box::new(BackendResponse {
             head,
@@ -286,7 +293,17 @@
                 return;
             }
         };
-        self.rate_limits.record_response(key, backend, limit, sent_at_ms);
+        self.stated_limits.record_response(key, backend, limit, sent_at_ms);
+    }
+
+    /// Records the pause that a backend requests in a response, or that it has taken the request.
+    fn record_pause(&self, key: FleetKey, metadata: &ResponseMetadata, sent_at_ms: u64) {
+        match metadata.pause {
+            RequestedPause::For(pause) => self.stated_limits.record_pause(key, pause),
+            RequestedPause::Invalid => self.stated_limits.record_pause(key, UNREADABLE_PAUSE),
+            RequestedPause::None if metadata.not_run => {}
+            RequestedPause::None => self.stated_limits.record_accepted(key, sent_at_ms),
+        }
     }
 
     /// Waits for `reading`, or returns `None` if its backend falls silent and the request may run
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -34,10 +34,10 @@
 use crate::error::DaemonError;
 use crate::ingress::{self, Phase};
 use crate::peers::Peers;
-use crate::rate_limits::SharedRateLimits;
 use crate::reload::Reload;
 use crate::request_handler::Gateway;
 use crate::routing_snapshot::{LoadReports, RoutingSnapshot, SharedSnapshot};
+use crate::stated_limits::StatedLimits;
 use crate::stop::StopSignals;
 use crate::telemetry;
 use crate::threads::control_thread;
@@ -70,7 +70,7 @@
     /// Load of the backends, written by the control thread.
     pub load_reports: Arc<LoadReports>,
     /// Rate limits of the backends, written by both.
-    pub rate_limits: Arc<SharedRateLimits>,
+    pub stated_limits: Arc<StatedLimits>,
     /// Crashes of backends and their suspects, written by both.
     pub crashes: Arc<CrashLedger>,
     /// Trials of requests that may crash backends, written by both.
@@ -86,10 +86,10 @@
     let metrics = telemetry::install_metrics()?;
     let snapshot: SharedSnapshot = Arc::default();
     let load_reports = Arc::<LoadReports>::default();
-    let rate_limits = Arc::new(SharedRateLimits::new(settings.common.name()));
+    let stated_limits = Arc::new(StatedLimits::new(settings.common.name()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
     let trials = Arc::default();
-    let shared = SharedState { snapshot, load_reports, rate_limits, crashes, trials };
+    let shared = SharedState { snapshot, load_reports, stated_limits, crashes, trials };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
     control_thread(move || control(control_settings, control_shared))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -410,7 +410,7 @@
                     changed |= self.fleet.mark_leaving(id, *born_ms);
                 }
                 for named in &hello.named_rates {
-                    self.shared.rate_limits.learn(&self.fleet, named);
+                    self.shared.stated_limits.learn(&self.fleet, named);
                 }
                 if changed {
                     self.publish();
@@ -454,7 +454,7 @@
         metrics::gauge!("currantlink_refused_requests").set(refused_requests as f64);
         let gateway_count = gateways.as_ref().map_or(ASSUMED_GATEWAYS, Vec::len);
         self.readers.gateway_counts.send_replace(gateways.as_ref().map_or(1, Vec::len));
-        self.shared.rate_limits.set_gateways(gateways);
+        self.shared.stated_limits.set_gateways(gateways);
         let settled = self.fleet.remove_expired(now);
         if settled || gateway_count != self.snapshot.gateway_count {
             self.snapshot.gateway_count = gateway_count;
@@ -465,7 +465,7 @@
         }
         let config_version = self.config_version();
         let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
-        let named_rates = || self.shared.rate_limits.announced(&self.fleet);
+        let named_rates = || self.shared.stated_limits.announced(&self.fleet);
         let hello =
             || Hello { config_version, leaving, named_rates: named_rates(), ..Hello::default() };
         self.peers.send_hello(hello).await;
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -8,16 +8,17 @@
 use currantlink_core::concurrency::StreamPauses;
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
-
-use currantlink_core::rate_limit::Permit;
 use currantlink_core::stream_pace::StreamPace;
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
+use crate::stated_limits::Clearance;
 
 /// Maximum share by which the time until a rate limit takes a request is extended at random.
 const MAX_RATE_JITTER: f64 = 0.25;
+/// Maximum time by which the time until a pause ends is extended at random.
+const MAX_PAUSE_JITTER: Duration = Duration::from_millis(500);
 const MS_PER_S: f64 = 1_000.0;
 
 /// Backends that are eligible for a request.
@@ -26,8 +27,8 @@
     /// Whether backends were excluded because this process has reached its share of their connection
     /// limit.
     is_capped: bool,
-    /// Least time after which a backend that was excluded by its rate limit takes a request.
-    rate_wait_ms: Option<u64>,
+    /// Why a backend that takes a request again soonest was excluded, if one was excluded for a time.
+    excluded: Option<Clearance>,
 }
 
 /// A stream that has events; its end is recorded when dropped.
@@ -80,8 +81,7 @@
         tried: &[FleetKey],
     ) -> Result<Placement, PlacementError> {
         let now = now_ms();
-        let CandidateSet { candidates, is_capped, rate_wait_ms } =
-            self.candidate_set(call, tried, now);
+        let CandidateSet { candidates, is_capped, excluded } = self.candidate_set(call, tried, now);
         let slots = candidates.first().map_or(1, |candidate| candidate.slots);
         let duration_ms = self.duration_ms(call, now);
         let queue_limit = least_loaded::queue_limit(call.route().target_ms, duration_ms, slots);
@@ -100,7 +100,7 @@
         );
         match least_loaded::choose(&candidates, limits, competing, sample_size, rand::random()) {
             Choice::Send(key) => {
-                self.rate_limits.record_request(key);
+                self.stated_limits.record_request(key);
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
                 let load = chosen.map(Candidate::load);
                 let report_age_ms = chosen.and_then(|c| c.report).map(|r| r.age_ms(now));
@@ -127,12 +127,18 @@
                     report_age_ms = ages.max(); "all backend groups are forming or stalled");
                 Err(PlacementError::Rejected(self.not_run_rejection(call, NotRunReason::Forming)))
             }
-            Choice::NoBackend => Err(PlacementError::Rejected(self.no_backend_rejection(
-                call,
-                tried,
-                is_capped,
-                rate_wait_ms,
-            ))),
+            Choice::NoBackend if Self::may_outwait(call, excluded) => {
+                Err(PlacementError::Full(FullBackends {
+                    least_load: None,
+                    slots,
+                    limits,
+                    excess: 0,
+                    candidates: 0,
+                }))
+            }
+            Choice::NoBackend => Err(PlacementError::Rejected(
+                self.no_backend_rejection(call, tried, is_capped, excluded),
+            )),
         }
     }
 
@@ -161,23 +167,44 @@
         self.not_run_rejection(call, NotRunReason::Full)
     }
 
+    /// Returns whether a request that finds all backends paused can be sent and still be on time if it
+    /// waits in this gateway.
+    fn may_outwait(call: &Call, excluded: Option<Clearance>) -> bool {
+        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
+        let left_ms = call.route().target_ms.saturating_sub(elapsed_ms);
+        matches!(excluded, Some(Clearance::Paused { wait_ms }) if wait_ms < left_ms)
+            && call.service().engine.is_some()
+    }
+
     fn no_backend_rejection(
         &self,
         call: &Call,
         tried: &[FleetKey],
         is_capped: bool,
-        rate_wait_ms: Option<u64>,
+        excluded: Option<Clearance>,
     ) -> Rejection {
-        match rate_wait_ms {
-            Some(wait_ms) => {
+        match excluded {
+            Some(Clearance::Paused { wait_ms }) => {
+                log::info!(request = call.attempt_id.as_str(), wait_ms,
+                    route = call.route().name.as_str(); "backends have requested pauses");
+                metrics::counter!("currantlink_paused_total").increment(1);
+                pause_rejection(wait_ms)
+            }
+            Some(Clearance::RateLimited { wait_ms }) => {
                 log::info!(request = call.attempt_id.as_str(), wait_ms,
                     route = call.route().name.as_str(); "backends at their rate limits");
                 metrics::counter!("currantlink_rate_limited_total").increment(1);
                 rate_rejection(wait_ms)
             }
-            None if is_capped => self.not_run_rejection(call, NotRunReason::Full),
-            None if tried.is_empty() => self.not_run_rejection(call, NotRunReason::NoBackend),
-            None => self.not_run_rejection(call, NotRunReason::RefusedByBackends),
+            Some(Clearance::Clear) | None if is_capped => {
+                self.not_run_rejection(call, NotRunReason::Full)
+            }
+            Some(Clearance::Clear) | None if tried.is_empty() => {
+                self.not_run_rejection(call, NotRunReason::NoBackend)
+            }
+            Some(Clearance::Clear) | None => {
+                self.not_run_rejection(call, NotRunReason::RefusedByBackends)
+            }
         }
     }
 
@@ -187,7 +214,7 @@
         let settings = self.settings();
         let domain = settings.common.failure_domain();
         let cap = (call.service().max_connections / snapshot.gateway_count.max(1) as u32).max(1);
-        let mut set = CandidateSet { candidates: Vec::new(), is_capped: false, rate_wait_ms: None };
+        let mut set = CandidateSet { candidates: Vec::new(), is_capped: false, excluded: None };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
             if tried.contains(&key)
                 || observations.misdirected.contains(&key)
@@ -196,12 +223,15 @@
             {
                 continue;
             }
-            if self.pool.in_flight(key) >= cap {
+            let in_flight = self.pool.in_flight(key);
+            if in_flight >= cap {
                 set.is_capped = true;
                 continue;
             }
-            if let Permit::After { wait_ms } = self.rate_limits.permit(key) {
-                set.rate_wait_ms = Some(set.rate_wait_ms.map_or(wait_ms, |ms| ms.min(wait_ms)));
+            let clearance = self.stated_limits.clearance(key, in_flight);
+            if clearance != Clearance::Clear {
+                let soonest = set.excluded.into_iter().chain([clearance]);
+                set.excluded = soonest.min_by_key(|clearance| clearance.wait_ms());
                 continue;
             }
             let report = self.load_reports.get(member.announcement.address);
@@ -314,6 +344,13 @@
     Rejection::NotRun { reason: NotRunReason::RateLimited, retry_after }
 }
 
+/// Creates a rejection for a request whose backends have all requested pauses. Requests that were
+/// rejected together return over some time after the first pause has ended.
+fn pause_rejection(wait_ms: u64) -> Rejection {
+    let retry_after = Duration::from_millis(wait_ms) + MAX_PAUSE_JITTER.mul_f64(rand::random());
+    Rejection::NotRun { reason: NotRunReason::Paused, retry_after }
+}
+
 fn mean_running(candidates: &[Candidate]) -> f64 {
     let running = candidates.iter().map(|c| c.load().min(c.slots));
     f64::from(running.sum::<u32>()) / candidates.len().max(1) as f64
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -60,6 +60,9 @@
     /// All backends that could run the request are at their rate limits.
     #[display("rate-limited")]
     RateLimited,
+    /// All backends that could run the request have requested pauses.
+    #[display("paused")]
+    Paused,
     /// No backend is listed for the service.
     #[display("no-backend")]
     NoBackend,
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -35,11 +35,11 @@
 use crate::gateway::SharedState;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
 use crate::pool::ConnectionPool;
-use crate::rate_limits::SharedRateLimits;
 use crate::rejection::{CONFIGURATION_RETRY_AFTER, NotRunReason, Rejection};
 use crate::response_body::ResponseBody;
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
 use crate::silent::SilentBackends;
+use crate::stated_limits::StatedLimits;
 use crate::stream_relay::{self, RelayedStream};
 use crate::trials::{SharedTrials, Trial};
 use crate::turns::Turns;
@@ -54,7 +54,7 @@
     settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) snapshot: SharedSnapshot,
     pub(crate) load_reports: Arc<LoadReports>,
-    pub(crate) rate_limits: Arc<SharedRateLimits>,
+    pub(crate) stated_limits: Arc<StatedLimits>,
     pub(crate) crashes: Arc<CrashLedger>,
     pub(crate) trials: Arc<SharedTrials>,
     pub(crate) pool: ConnectionPool,
@@ -156,12 +156,12 @@
 impl Gateway {
     /// Creates a gateway without observations.
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
-        let SharedState { snapshot, load_reports, rate_limits, crashes, trials } = shared;
+        let SharedState { snapshot, load_reports, stated_limits, crashes, trials } = shared;
         Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
             load_reports,
-            rate_limits,
+            stated_limits,
             crashes,
             trials,
             pool: ConnectionPool::default(),
@@ -255,7 +255,7 @@
         observations.health.retain(known);
         observations.misdirected.retain(|&key| known(key));
         observations.refused_until_ms.retain(|&key, _| known(key));
-        self.rate_limits.retain(known);
+        self.stated_limits.retain(known);
     }
 
     /// Determines which of the backends with an agent are silent.
--- a/daemon/src/rate_limits.rs
+++ b/daemon/src/stated_limits.rs
@@ -1,20 +1,54 @@
-//! Rate limits of the backends, shared by the traffic thread and the control thread.
+//! What backends say of the requests that they take: rate limits, which all gateways share, and pauses.
+//! Shared by the traffic thread and the control thread.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use currantlink_core::fleet::{Fleet, FleetKey};
+use currantlink_core::pauses::Pauses;
 use currantlink_core::rate_limit::{LimitChange, Permit, RateLimits, RequestRate, Sighting};
 use currantlink_wire::peers::NamedRate;
 
 use crate::clock::now_ms;
 
-/// Rate limits that backends name, known here or from other gateways.
-pub struct SharedRateLimits(Mutex<RateLimits<FleetKey>>);
+/// Rate limits that backends name, known here or from other gateways, and pauses that they request from
+/// this gateway.
+pub struct StatedLimits {
+    rates: Mutex<RateLimits<FleetKey>>,
+    pauses: Mutex<Pauses<FleetKey>>,
+}
+
+/// Whether a request may be sent to a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Clearance {
+    /// The request may be sent now.
+    Clear,
+    /// The backend has requested a pause, or takes few requests after one.
+    Paused {
+        /// Time until a request may be sent.
+        wait_ms: u64,
+    },
+    /// The backend's rate limit is reached.
+    RateLimited {
+        /// Time until a request may be sent.
+        wait_ms: u64,
+    },
+}
 
-impl SharedRateLimits {
+impl Clearance {
+    /// Returns the time until a request may be sent.
+    pub fn wait_ms(self) -> u64 {
+        match self {
+            Clearance::Clear => 0,
+            Clearance::Paused { wait_ms } | Clearance::RateLimited { wait_ms } => wait_ms,
+        }
+    }
+}
+
+impl StatedLimits {
     /// Creates the limits of the gateway `own_name`.
     pub fn new(own_name: &str) -> Self {
-        Self(Mutex::new(RateLimits::new(own_name)))
+        Self { rates: Mutex::new(RateLimits::new(own_name)), pauses: Mutex::default() }
     }
 
     /// Replaces the names of the gateways, or `None` while they are unknown.
@@ -79,9 +113,31 @@
         limits.announced(now_ms()).filter_map(named).collect()
     }
 
-    /// Returns whether a request may be sent to a backend.
-    pub fn permit(&self, key: FleetKey) -> Permit {
-        self.lock().permit(key, now_ms())
+    /// Returns whether a request may be sent to a backend that has `in_flight` requests of this gateway.
+    pub fn clearance(&self, key: FleetKey, in_flight: u32) -> Clearance {
+        let now = now_ms();
+        if let Permit::After { wait_ms } = self.lock_pauses().permit(key, in_flight, now) {
+            return Clearance::Paused { wait_ms };
+        }
+        match self.lock().permit(key, now) {
+            Permit::Now => Clearance::Clear,
+            Permit::After { wait_ms } => Clearance::RateLimited { wait_ms },
+        }
+    }
+
+    /// Returns whether a backend wants no requests of this gateway now.
+    pub fn is_paused(&self, key: FleetKey) -> bool {
+        self.lock_pauses().is_paused(key, now_ms())
+    }
+
+    /// Records that a backend has requested a pause.
+    pub fn record_pause(&self, key: FleetKey, pause: Duration) {
+        self.lock_pauses().record_pause(key, pause, now_ms());
+    }
+
+    /// Records a response of a backend that is no rejection, to a request that was sent at `sent_at_ms`.
+    pub fn record_accepted(&self, key: FleetKey, sent_at_ms: u64) {
+        self.lock_pauses().record_response(key, sent_at_ms);
     }
 
     /// Counts a request that is sent to a backend.
@@ -91,11 +147,17 @@
 
     /// Removes the limits of backends for which `known` returns false.
     pub fn retain(&self, known: impl Fn(FleetKey) -> bool) {
-        self.lock().retain(known);
+        self.lock().retain(&known);
+        self.lock_pauses().retain(known);
+    }
+
+    fn lock_pauses(&self) -> MutexGuard<'_, Pauses<FleetKey>> {
+        // As for the rates.
+        self.pauses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn lock(&self) -> MutexGuard<'_, RateLimits<FleetKey>> {
         // Each update is complete or not begun, so the limits stay consistent even if the lock is poisoned.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.rates.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
