Send nothing to backends that say in a response that they leave

Cause: the header was not read, so a backend that leaves got requests until the list or a peer said so; and a leaving backend whose entry was removed and written again counted as a new one.

Change: the traffic thread takes the backend out at once and closes its idle connections; the control thread marks it and tells the other gateways with the next hello message. The fleet remembers leaving processes by id and start time, whatever the list says later.

In core, leaving_and_listed_again and told_before_listed are new.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -5,11 +5,14 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 /// Time after a store outage during which a removed entry may reappear.
 pub const OUTAGE_GRACE_MS: u64 = 2_000;
 
+/// Maximum number of leaving backends that are remembered.
+const MAX_LEAVING: usize = 4_096;
+
 /// Index of a backend in the fleet; never reused while the process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct FleetKey(pub u32);
@@ -61,6 +64,8 @@
 pub struct Fleet {
     members: Vec<Member>,
     by_id: IndexMap<String, FleetKey>,
+    /// Ids and start times of backends that are known to leave, listed or not.
+    leaving: IndexSet<(String, u64)>,
     grace_until_ms: u64,
 }
 
@@ -96,6 +101,11 @@
 
     /// Applies the state of one list entry and returns whether the fleet changed.
     pub fn observe(&mut self, id: &str, observation: Observation, now_ms: u64) -> bool {
+        if let Observation::Present(announcement) = &observation
+            && announcement.draining
+        {
+            self.remember_leaving(id, announcement.started_at_ms);
+        }
         match (observation, self.by_id(id)) {
             (Observation::Present(announcement), Some(key))
                 if self.is_same_process(key, &announcement) =>
@@ -105,7 +115,8 @@
             (Observation::Present(announcement), _) => {
                 self.remove_superseded(&announcement);
                 let key = FleetKey(self.members.len() as u32);
-                let leaving = announcement.draining;
+                let process = (id.to_owned(), announcement.started_at_ms);
+                let leaving = announcement.draining || self.leaving.contains(&process);
                 self.members.push(Member {
                     id: id.to_owned(),
                     announcement,
@@ -145,10 +156,12 @@
         changed
     }
 
-    /// Marks a backend as leaving after a peer's report and returns whether the fleet changed.
+    /// Marks a backend as leaving after its own or a peer's report and returns whether the fleet changed.
+    /// It stays so if it is listed again later.
     ///
-    /// A report for another start time concerns another process and is ignored.
+    /// A report for another start time concerns another process.
     pub fn mark_leaving(&mut self, id: &str, started_at_ms: u64) -> bool {
+        self.remember_leaving(id, started_at_ms);
         let Some(key) = self.by_id(id) else {
             return false;
         };
@@ -158,6 +171,13 @@
         changed
     }
 
+    fn remember_leaving(&mut self, id: &str, started_at_ms: u64) {
+        self.leaving.insert((id.to_owned(), started_at_ms));
+        if self.leaving.len() > MAX_LEAVING {
+            self.leaving.shift_remove_index(0);
+        }
+    }
+
     /// Removes backends that did not reappear within the grace period and returns whether the fleet
     /// changed.
     pub fn remove_expired(&mut self, now_ms: u64) -> bool {
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -38,6 +38,30 @@
     assert!(open(&fleet).is_empty());
 }
 
+#[test]
+fn leaving_and_listed_again() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    assert!(fleet.mark_leaving("a", 1));
+    let draining = Announcement { draining: true, ..announcement(1, 2) };
+    fleet.observe("b", Observation::Present(draining), 0);
+    for (id, port) in [("a", 1), ("b", 2)] {
+        fleet.observe(id, Observation::Dropped, 1);
+        fleet.observe(id, present(1, port), 2);
+    }
+    assert!(open(&fleet).is_empty(), "the same processes");
+    fleet.observe("a", present(2, 1), 3);
+    assert_eq!(open(&fleet), ["a"], "a new process under the id");
+}
+
+#[test]
+fn told_before_listed() {
+    let mut fleet = Fleet::default();
+    assert!(!fleet.mark_leaving("a", 1));
+    fleet.observe("a", present(1, 1), 0);
+    assert!(open(&fleet).is_empty());
+}
+
 #[test]
 fn new_process() {
     let mut fleet = Fleet::default();
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -234,6 +234,10 @@
         self.pool.record_heard(key, now_ms());
         self.record_rate(key, &member.id, &metadata, sent_at_ms);
         self.record_pause(key, &metadata, sent_at_ms);
+        // Another backend at the address speaks for itself only.
+        if metadata.leaving && metadata.status != http::StatusCode::MISDIRECTED_REQUEST {
+            self.record_leaving(key, member);
+        }
         let status = metadata.status;
         let response = Box::new(BackendResponse {
             head,
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -75,6 +75,8 @@
     pub crashes: Arc<CrashLedger>,
     /// Trials of requests that may crash backends, written by both.
     pub trials: Arc<SharedTrials>,
+    /// Backends that said in a response that they leave, from the traffic thread to the control thread.
+    pub leaving: mpsc::UnboundedSender<Leaving>,
 }
 
 /// Runs a gateway until a stop signal arrives.
@@ -89,9 +91,10 @@
     let stated_limits = Arc::new(StatedLimits::new(settings.common.name()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
     let trials = Arc::default();
-    let shared = SharedState { snapshot, load_reports, stated_limits, crashes, trials };
+    let (leaving, left) = mpsc::unbounded_channel();
+    let shared = SharedState { snapshot, load_reports, stated_limits, crashes, trials, leaving };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
-    control_thread(move || control(control_settings, control_shared))?;
+    control_thread(move || control(control_settings, control_shared, left))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let gateway = Rc::new(Gateway::new(settings, shared));
     LocalSet::new().block_on(&runtime, traffic(gateway, metrics, path))
@@ -227,7 +230,11 @@
     }
 }
 
-async fn control(settings: GatewaySettings, shared: SharedState) {
+async fn control(
+    settings: GatewaySettings,
+    shared: SharedState,
+    mut leaving: mpsc::UnboundedReceiver<Leaving>,
+) {
     let common = &settings.common;
     let own = Peer {
         name: common.name().to_owned(),
@@ -271,6 +278,7 @@
                     tokio::time::sleep(TICK_INTERVAL).await;
                 }
             },
+            Some(backend) = leaving.recv() => control.mark_leaving(&[backend]),
             () = trials.due() => {
                 control.send_trials().await;
                 // Several requests at a backend that crashes are told of together.
@@ -405,16 +413,10 @@
                 if hello.config_version > self.config_version() {
                     self.readers.notify_outdated(now_ms());
                 }
-                let mut changed = false;
-                for Leaving { id, born_ms } in &hello.leaving {
-                    changed |= self.fleet.mark_leaving(id, *born_ms);
-                }
+                self.mark_leaving(&hello.leaving);
                 for named in &hello.named_rates {
                     self.shared.stated_limits.learn(&self.fleet, named);
                 }
-                if changed {
-                    self.publish();
-                }
             }
             Some(peer_message::Body::Crashes(Crashes { crashes })) => {
                 self.shared.crashes.learn(crashes);
@@ -425,6 +427,16 @@
         }
     }
 
+    fn mark_leaving(&mut self, backends: &[Leaving]) {
+        let mut changed = false;
+        for Leaving { id, born_ms } in backends {
+            changed |= self.fleet.mark_leaving(id, *born_ms);
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
     fn register_hello(&mut self, hello: &Hello) {
         let is_gateway = hello.peer.as_ref().is_some_and(|peer| peer.role() == Role::Gateway);
         let first_hello_from = self.peers.register_hello(hello);
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -218,6 +218,7 @@
         for (key, member) in snapshot.fleet.available(&call.service().name) {
             if tried.contains(&key)
                 || observations.misdirected.contains(&key)
+                || observations.leaving.contains(&key)
                 || observations.refused_until_ms.get(&key).is_some_and(|&until| now < until)
                 || self.silent.contains(key)
             {
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -145,6 +145,13 @@
         self.backends.borrow().get(&key).map_or(0, |backend| backend.in_flight)
     }
 
+    /// Closes the idle connections to a backend.
+    pub fn close_idle(&self, key: FleetKey) {
+        if let Some(backend) = self.backends.borrow_mut().get_mut(&key) {
+            backend.idle.clear();
+        }
+    }
+
     /// Closes expired idle connections and removes backends for which `known` returns false.
     pub fn evict(&self, known: impl Fn(FleetKey) -> bool) {
         let now = Instant::now();
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -10,7 +10,7 @@
 use currantlink_core::concurrency::ConcurrencyLimiter;
 use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
-use currantlink_core::fleet::FleetKey;
+use currantlink_core::fleet::{FleetKey, Member};
 use currantlink_core::health::Health;
 use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
 use currantlink_core::retry::RetryState;
@@ -20,11 +20,12 @@
 use currantlink_core::stop::Acceptance;
 use currantlink_core::stream_pace::StreamPace;
 use currantlink_platform::request::{self, RequestMetadata};
+use currantlink_wire::peers::Leaving;
 use http::{HeaderMap, Method, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use indexmap::{IndexMap, IndexSet};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::attempts::{Dispatched, caller_response};
@@ -57,6 +58,7 @@
     pub(crate) stated_limits: Arc<StatedLimits>,
     pub(crate) crashes: Arc<CrashLedger>,
     pub(crate) trials: Arc<SharedTrials>,
+    leaving: mpsc::UnboundedSender<Leaving>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
@@ -75,6 +77,8 @@
     pub(crate) health: Health<FleetKey>,
     /// Backends whose address was found to be served by another backend.
     pub(crate) misdirected: IndexSet<FleetKey>,
+    /// Backends that said in a response that they leave.
+    pub(crate) leaving: IndexSet<FleetKey>,
     /// Backends that refused a connection, and until when they are not tried again.
     pub(crate) refused_until_ms: IndexMap<FleetKey, u64>,
     /// Pauses of recent streams, by service.
@@ -156,7 +160,8 @@
 impl Gateway {
     /// Creates a gateway without observations.
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
-        let SharedState { snapshot, load_reports, stated_limits, crashes, trials } = shared;
+        let SharedState { snapshot, load_reports, stated_limits, crashes, trials, leaving } =
+            shared;
         Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
@@ -164,6 +169,7 @@
             stated_limits,
             crashes,
             trials,
+            leaving,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
@@ -254,6 +260,7 @@
         let mut observations = self.observations.borrow_mut();
         observations.health.retain(known);
         observations.misdirected.retain(|&key| known(key));
+        observations.leaving.retain(|&key| known(key));
         observations.refused_until_ms.retain(|&key, _| known(key));
         self.stated_limits.retain(known);
     }
@@ -446,6 +453,21 @@
         deadlines.is_returned(now_ms(), deadline_ms, rejected_at_ms)
     }
 
+    /// Records that a backend says that it leaves: it gets no more requests, here at once and from the
+    /// other gateways when they are told.
+    pub(crate) fn record_leaving(&self, key: FleetKey, member: &Member) {
+        if member.leaving || !self.observations.borrow_mut().leaving.insert(key) {
+            return;
+        }
+        log::info!(backend = member.id.as_str(); "backend says that it leaves");
+        self.pool.close_idle(key);
+        let born_ms = member.announcement.started_at_ms;
+        if self.leaving.send(Leaving { id: member.id.clone(), born_ms }).is_err() {
+            log::error!(backend = member.id.as_str();
+                "other gateways are not told that a backend leaves: the control thread has ended");
+        }
+    }
+
     /// Spends one retry from the service's retry budget, if the budget allows it.
     pub fn try_spend_retry(&self, call: &Call) -> bool {
         let gateways = self.snapshot.load().gateway_count;
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -127,6 +127,7 @@
     active: u32,
     named_rate: Option<String>,
     requested_pause: Option<String>,
+    is_leaving: bool,
     arrived: Vec<Arrival>,
     queued_since: Vec<Instant>,
 }
@@ -196,6 +197,7 @@
                         Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
                     }
                 };
+                backend.state().is_leaving = false;
                 backend.restarts.send_modify(|restarts| *restarts += 1);
                 backend.accept_until_crash(listener).await;
             }
@@ -292,6 +294,11 @@
         self.state().arrived.iter().map(|arrival| arrival.at).collect()
     }
 
+    /// Makes all following responses say that the backend leaves. A restart ends it.
+    pub fn announce_leaving(&self) {
+        self.state().is_leaving = true;
+    }
+
     /// Makes the backend refuse all requests and request a pause, until `None` is passed.
     pub fn request_pause(&self, pause: Option<&str>) {
         self.state().requested_pause = pause.map(str::to_owned);
@@ -351,6 +358,8 @@
         };
         let rate = self.state().named_rate.clone();
         let rate_header = rate.as_deref().map(|rate| (names::RATE_LIMIT, rate));
+        let leaving_header = self.state().is_leaving.then_some((names::LEAVING, "1"));
+        let stated = rate_header.into_iter().chain(leaving_header);
         let own_id = self.id();
         if expected.is_some_and(|expected| expected != own_id) {
             write_response(stream, "421 Misdirected Request", &[(names::BACKEND_ID, &own_id)], b"")
@@ -369,7 +378,7 @@
         }
         if fault == Fault::Refuse {
             let headers = [(names::NOT_RUN, "1"), (names::ATTEMPT_ID, id.as_str())];
-            let headers: Vec<_> = headers.into_iter().chain(rate_header).collect();
+            let headers: Vec<_> = headers.into_iter().chain(stated).collect();
             write_response(stream, "503 Service Unavailable", &headers, b"").await?;
             return Ok(true);
         }
@@ -389,7 +398,7 @@
         let signature = format!("{own_id}.{id}");
         let signed_headers =
             [(names::ATTEMPT_ID, id.as_str()), (names::SIGNATURE, signature.as_str())];
-        let signed_headers: Vec<_> = signed_headers.into_iter().chain(rate_header).collect();
+        let signed_headers: Vec<_> = signed_headers.into_iter().chain(stated).collect();
         let body = format!("{id} by {own_id}");
         match fault {
             Fault::LoseResponse => Ok(false),
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -299,6 +299,11 @@
         self.records.put(names::BACKENDS_TOPIC, id, &record);
     }
 
+    /// Removes the registration record of a backend.
+    pub fn unregister(&self, id: &str) {
+        self.records.put(names::BACKENDS_TOPIC, id, b"");
+    }
+
     /// Writes the registration record of a backend now and after each of its restarts.
     fn keep_registered(&self, backend: &Backend, service: &'static str, address: SocketAddr) {
         self.register(&backend.id(), service, address, "ready");
