Continue a stream only with the events that follow its last one

Now it has to have the status and content type that the caller was given, and its first event a higher id than the last one passed on; a stream that ends before that is broken off. Server errors were not passed on before either.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Returns whether complete events continue a stream after the event `last_id`: the first one has a higher
+/// id.
+pub fn continues(events: &[u8], last_id: u64) -> bool {
+    let end = events.windows(2).position(|w| w == b"\n\n").unwrap_or(events.len());
+    let first = String::from_utf8_lossy(&events[..end]).replace("\r\n", "\n");
+    let first = first.split("\n\n").next().unwrap_or_default();
+    last_event_id(first.as_bytes()).is_some_and(|id| id > last_id)
+}
+
 /// Returns the end of the last blank line, with LF or CRLF line endings.
 fn last_boundary(bytes: &[u8], searched_len: usize) -> Option<usize> {
     let start = searched_len.saturating_sub(2);
--- a/core/tests/events.rs
+++ b/core/tests/events.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use currantlink_core::events::{EventSplitter, MAX_EVENT_BYTES};
+use currantlink_core::events::{EventSplitter, MAX_EVENT_BYTES, continues};
 use proptest::prelude::*;
 
 fn stream(count: u64) -> Vec<u8> {
@@ -48,3 +48,12 @@
     assert!(splitter.push(&vec![b'x'; MAX_EVENT_BYTES]).is_some());
     assert!(splitter.push(b"x").is_none());
 }
+
+#[test]
+fn continued_streams() {
+    assert!(continues(b"id: 3\ndata: a\n\nid: 4\ndata: b\n\n", 2));
+    assert!(continues(b"id: 7\r\ndata: a\r\n\r\nid: 1\r\n\r\n", 2), "ids may have gaps");
+    assert!(!continues(b"id: 2\ndata: a\n\nid: 3\ndata: b\n\n", 2), "an event that was passed on");
+    assert!(!continues(b"data: a\n\nid: 3\ndata: b\n\n", 2), "an event without an id");
+    assert!(!continues(b"not found\n\n", 2) && !continues(b"", 2) && !continues(b"\xff\n\n", 2));
+}
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -8,11 +8,12 @@
 
 use bytes::Bytes;
 use currantlink_core::concurrency::StreamPauses;
-use currantlink_core::events::EventSplitter;
+use currantlink_core::events::{self, EventSplitter};
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_core::routes::Repeat;
 use futures::Stream;
+use http::{HeaderValue, StatusCode, header};
 
 use crate::attempts::{BackendResponse, Dispatched};
 use crate::clock::now_ms;
@@ -34,6 +35,8 @@
     tried: Vec<FleetKey>,
     splitter: EventSplitter,
     backend_stream: Option<BackendStream>,
+    /// Status and content type that the caller was given.
+    head: (StatusCode, Option<HeaderValue>),
     pauses: Option<PauseMeter>,
     first_event_ms: Option<u64>,
     in_progress: Option<StreamInProgress>,
@@ -52,6 +55,8 @@
     response: Box<BackendResponse>,
     framing: Framing,
     answer: AnswerProgress,
+    /// Event that the stream was resumed after, until it has continued with the next one.
+    resumed_after: Option<u64>,
 }
 
 enum StreamRead {
@@ -61,6 +66,8 @@
     Timeout,
     /// The backend has fallen silent.
     Silent,
+    /// The stream was resumed, but not with the events after the last one.
+    Discontinuous,
 }
 
 impl RelayedStream {
@@ -74,6 +81,7 @@
     ) -> Self {
         let splitter = EventSplitter::new(call.metadata.last_event_id);
         let pauses = Some(PauseMeter::new(response.running));
+        let head = (response.head.status, content_type(&response));
         let backend_stream = Some(BackendStream::from(response));
         Self {
             gateway,
@@ -82,6 +90,7 @@
             tried,
             splitter,
             backend_stream,
+            head,
             pauses,
             first_event_ms: None,
             in_progress: None,
@@ -121,6 +130,7 @@
                     return None;
                 }
                 StreamRead::Timeout => return self.truncate("timeout"),
+                StreamRead::Discontinuous => return self.truncate("discontinuous"),
                 StreamRead::Silent => {
                     if !self.resume(Outcome::Silent).await {
                         return self.truncate("silent");
@@ -156,12 +166,22 @@
         let dispatched =
             self.gateway.dispatch(&self.call, &mut self.relay, &mut self.tried, last_event_id);
         match dispatched.await {
-            Ok(Dispatched::Response(response)) => {
+            Ok(Dispatched::Response(response))
+                if (response.head.status, content_type(&response)) == self.head =>
+            {
                 let request = self.call.attempt_id.as_str();
                 log::info!(request, after_event = last_event_id; "stream resumed");
-                self.backend_stream = Some(BackendStream::from(response));
+                let resumed_after = last_event_id;
+                self.backend_stream =
+                    Some(BackendStream { resumed_after, ..BackendStream::from(response) });
                 true
             }
+            Ok(Dispatched::Response(response)) => {
+                let request = self.call.attempt_id.as_str();
+                log::warn!(request, status = response.head.status.as_u16();
+                    "stream not resumed: the response is no event stream");
+                false
+            }
             Ok(Dispatched::Failure(_)) => false,
             Err(rejection) => {
                 let request = self.call.attempt_id.as_str();
@@ -234,6 +254,12 @@
 }
 
 impl BackendStream {
+    /// Returns whether the stream was resumed and nothing has continued it yet. Its backend may have had
+    /// nothing to send, or have answered with an empty error.
+    fn is_not_continued(&self) -> bool {
+        self.resumed_after.is_some()
+    }
+
     fn is_empty_until_close(&self) -> bool {
         self.response.head.framing == Framing::UntilClose && !self.answer.has_events()
     }
@@ -255,6 +281,7 @@
                         detail: "stream without a length ended before its first event",
                     });
                 }
+                Ok(Ok(None)) if self.is_not_continued() => return StreamRead::Discontinuous,
                 Ok(Ok(None)) => return StreamRead::End,
                 Ok(Ok(Some(chunk))) => chunk,
             };
@@ -265,7 +292,12 @@
                     });
                 }
                 Some(events) if events.is_empty() => {}
-                Some(events) => return StreamRead::Events(Bytes::from(events)),
+                Some(events) => match self.resumed_after.take() {
+                    Some(last_id) if !events::continues(&events, last_id) => {
+                        return StreamRead::Discontinuous;
+                    }
+                    _ => return StreamRead::Events(Bytes::from(events)),
+                },
             }
         }
     }
@@ -274,10 +306,14 @@
 impl From<Box<BackendResponse>> for BackendStream {
     fn from(response: Box<BackendResponse>) -> Self {
         let framing = response.head.framing;
-        Self { response, framing, answer: AnswerProgress::default() }
+        Self { response, framing, answer: AnswerProgress::default(), resumed_after: None }
     }
 }
 
+fn content_type(response: &BackendResponse) -> Option<HeaderValue> {
+    response.head.headers.get(header::CONTENT_TYPE).cloned()
+}
+
 /// Converts a relayed stream into response body chunks.
 pub fn chunks(stream: RelayedStream) -> impl Stream<Item = Result<Bytes, TruncatedBody>> {
     futures::stream::unfold(Some(stream), |stream| async {
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -57,6 +57,9 @@
     /// The event stream has neither a length nor chunks. It ends with the connection, in the middle of the
     /// event that follows this many events if there is one.
     UnframedAfter(u64),
+    /// The event stream is closed after its second event. If it is resumed here, the response has this
+    /// status line and body instead.
+    FailResumed(&'static str, &'static str),
     /// The event stream pauses for this long before its last event.
     Stall(Duration),
     /// The event stream pauses before its last event until `release_streams` is called.
@@ -274,6 +277,11 @@
         self.released.send_replace(true);
     }
 
+    /// Removes the queued faults.
+    pub fn clear_faults(&self) {
+        self.state().faults.clear();
+    }
+
     /// Returns the requests that were run, in order of arrival.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -413,6 +421,12 @@
                 Ok(true)
             }
             Fault::Reset => self.reset(stream, &signed_headers, body.as_bytes()).await,
+            Fault::FailResumed(status, body)
+                if request.header(names::LAST_EVENT_ID.as_str()).is_some() =>
+            {
+                write_response(stream, status, &signed_headers, body.as_bytes()).await?;
+                Ok(true)
+            }
             _ if self.group.is_some() => {
                 self.stream_events(stream, request, &signed_headers, fault).await
             }
@@ -515,6 +529,7 @@
                 };
                 match fault {
                     Fault::UnframedAfter(0) => return Ok(false),
+                    Fault::FailResumed(..) if event > 2 => return Ok(false),
                     Fault::TruncateAfter(events) | Fault::UnframedAfter(events)
                         if event > events =>
                     {
