Do not take a refusal without an id on a kept connection for one's own

Report of another operator: a backend wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which had, or they ran twice.

It could happen here for refusals without an attempt id, which were accepted on any connection. Now only on one that has carried no other request; on others the outcome is unknown: the connection is closed, what may run again goes to another backend, the rest is answered 502. Refusals with another request's id were skipped before. The same request is never sent twice to one backend, so its own earlier refusal cannot follow.

stale_refusals: refused_but_run (ran 2 times) and repeatable_request (503 for a request that had run) failed before and pass; own_refusal passed before.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -208,7 +208,7 @@
         relay.record_dispatch();
         call.progress.record_dispatch(key);
         let sent_at_ms = now_ms();
-        let reading = Self::read_own_response(call, &mut upstream, &head, body);
+        let reading = Self::read_own_response(call, &mut upstream, is_reused, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
         let read = match self.unless_silent(call, key, reading).await {
             None => return AttemptEnd::NoResponse(Outcome::Silent),
@@ -335,25 +335,26 @@
 
     /// Sends the request and reads responses until one belongs to the request.
     ///
-    /// A response belongs to the request if it carries the attempt id, or reports not-run without
-    /// an id.
+    /// A response belongs to the request if it carries the attempt id, or reports not-run without an id
+    /// on a new connection. On a reused one, that may be the report on an earlier request.
     async fn read_own_response(
         call: &Call,
         upstream: &mut Upstream,
+        is_reused: bool,
         head: &[u8],
         body: &[u8],
     ) -> Result<(Head, ResponseMetadata), UpstreamError> {
         let mut response = upstream.exchange(head, body).await?;
         for _ in 0..MAX_STRAY_RESPONSES {
             let metadata = response::decode(response.status, &response.headers);
-            let has_other_id =
-                metadata.attempt_id.as_ref().is_some_and(|id| *id != call.attempt_id);
             if call.method == Method::HEAD {
                 response.framing = Framing::Done;
             }
-            if metadata.attempt_id.as_ref() == Some(&call.attempt_id)
-                || metadata.not_run && !has_other_id
-            {
+            let is_own = match &metadata.attempt_id {
+                Some(id) => *id == call.attempt_id,
+                None => metadata.not_run && !is_reused,
+            };
+            if is_own {
                 return Ok((response, metadata));
             }
             if response.framing == Framing::UntilClose || metadata.attempt_id.is_none() {
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -46,6 +46,8 @@
     Hang,
     /// A response for another attempt precedes the response.
     StrayResponse,
+    /// A refusal without an attempt ID, as of an earlier request, precedes the response.
+    StaleRefusal,
     /// Unsolicited bytes follow the response.
     ExtraBytes,
     /// The response lacks the signature header.
@@ -396,6 +398,10 @@
             stream.write_all(head.as_bytes()).await?;
             return self.hang(stream).await;
         }
+        if fault == Fault::StaleRefusal {
+            write_response(stream, "503 Service Unavailable", &[(names::NOT_RUN, "1")], b"")
+                .await?;
+        }
         let Some(_slot) = self.wait_for_slot(stream).await else {
             return Ok(false);
         };
