--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -72,6 +72,11 @@
 }
 
 impl LoadReport {
+    /// Returns the reported number of requests, running or queued.
+    fn requests(&self) -> u32 {
+        self.active.saturating_add(self.queued)
+    }
+
     /// Returns this report as the successor of `previous`, with the mean interval updated.
     pub fn following(self, previous: &Self) -> Self {
         let gap_ms = self.received_at_ms.saturating_sub(previous.received_at_ms) as f64;
@@ -109,14 +114,15 @@
 impl Candidate {
     /// Returns the estimated number of requests at the backend, running or queued.
     pub fn load(&self) -> u32 {
-        let reported = self.report.map_or(0, |r| r.active + r.queued + self.sent_since_report);
+        let sent = self.sent_since_report;
+        let reported = self.report.map_or(0, |r| r.requests().saturating_add(sent));
         reported.saturating_sub(self.ended_since_report).max(self.own_requests)
     }
 
     /// Returns the room that the report shows, or `None` without a report.
     fn reported_room(&self, limits: Limits) -> Option<u32> {
         let report = self.report?;
-        Some(limits.max_load(self).saturating_sub(report.active + report.queued))
+        Some(limits.max_load(self).saturating_sub(report.requests()))
     }
 
     /// Returns whether the backend takes another request, if `competing` gateways use the same report.
@@ -145,9 +151,10 @@
     own_rate_per_ms: f64,
     are_waiting: bool,
 ) -> usize {
-    let room: u32 = candidates.iter().filter_map(|c| c.reported_room(limits)).sum();
+    let rooms = candidates.iter().filter_map(|c| c.reported_room(limits));
+    let room: f64 = rooms.map(f64::from).sum();
     let demand = own_rate_per_ms * BUSY_REPORT_INTERVAL_MS * gateways as f64;
-    if are_waiting || demand > f64::from(room) { gateways } else { 1 }
+    if are_waiting || demand > room { gateways } else { 1 }
 }
 
 /// Limits on the requests at a backend.
@@ -161,7 +168,7 @@
 
 impl Limits {
     fn max_load(self, candidate: &Candidate) -> u32 {
-        let capacity = candidate.slots + self.queued;
+        let capacity = candidate.slots.saturating_add(self.queued);
         self.running.filter(|&running| running < candidate.slots).unwrap_or(capacity)
     }
 }
@@ -230,7 +237,7 @@
     if let Some(key) = chosen {
         return Choice::Send(key);
     }
-    let excess = |c: &Candidate| (c.load() + 1).saturating_sub(limits.max_load(c));
+    let excess = |c: &Candidate| c.load().saturating_add(1).saturating_sub(limits.max_load(c));
     let excess = usable.iter().map(|candidate| excess(candidate)).min();
     excess.map_or(Choice::NoBackend, |excess| Choice::Full { excess })
 }
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -48,6 +48,18 @@
     assert_eq!(choose_among_all(&all, queued(2), 0), Choice::Send(FleetKey(2)));
 }
 
+#[test]
+fn extreme_reports() {
+    let most = u32::MAX;
+    let odd = Candidate { slots: most, ended_since_report: most, ..reported(1, most, most, most) };
+    let full = reported(2, most, 1, 1);
+    for limits in [queued(0), queued(most), Limits { running: Some(most), queued: most }] {
+        let choice = choose_among_all(&[full, odd, candidate(3, 0)], limits, 0);
+        assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
+        choose_among_all(&[full], limits, 0);
+    }
+}
+
 #[test]
 fn group_forming() {
     let mut forming = reported(1, 0, 0, 0);
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -292,10 +292,12 @@
         let now = now_ms();
         let CandidateSet { candidates, .. } = self.candidate_set(call, &[], now);
         let duration_ms = self.duration_ms(call, now);
-        let own_requests: u32 = candidates.iter().map(|candidate| candidate.own_requests).sum();
-        let slots: u32 = candidates.iter().map(|candidate| candidate.slots).sum();
-        let share = slots / self.snapshot.load().gateway_count.max(1) as u32;
-        duration_ms / f64::from(own_requests.max(share).max(1))
+        let sum =
+            |count: fn(&Candidate) -> u32| candidates.iter().map(|c| u64::from(count(c))).sum();
+        let own_requests: u64 = sum(|candidate| candidate.own_requests);
+        let slots: u64 = sum(|candidate| candidate.slots);
+        let share = slots / self.snapshot.load().gateway_count.max(1) as u64;
+        duration_ms / own_requests.max(share).max(1) as f64
     }
 
     /// Returns the time in which most requests to a service have their first event.
