Count a lost request as a crash when its backend is replaced

Cause: a lost connection counted as a crash only if a new connection was refused within 0.1 s. With a successor that listens at once, a lost SYN or an instance that goes with its backend, crashes were no evidence, and the request went on from backend to backend.

Change: losses that are not explained are kept for 10 s, and become crashes of that moment when the list shows another process under the id, or at the address in the same service.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -93,6 +93,20 @@
         self.listed().filter(move |(_, m)| !m.leaving && m.announcement.service == service)
     }
 
+    /// Returns whether another process has a backend's id, or its address in the same service.
+    pub fn is_replaced(&self, key: FleetKey) -> bool {
+        let Some(Member { id, announcement, .. }) = self.get(key) else {
+            return false;
+        };
+        let is_successor = |other: &Member| {
+            let Announcement { started_at_ms, service, address, .. } = &other.announcement;
+            *started_at_ms > announcement.started_at_ms
+                && (other.id == *id || *address == announcement.address)
+                && *service == announcement.service
+        };
+        self.listed().any(|(other, member)| other != key && is_successor(member))
+    }
+
     /// Starts the grace period after a store outage, because entries that expired during the outage
     /// may reappear.
     pub fn store_recovered(&mut self, now_ms: u64) {
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -54,6 +54,21 @@
     assert_eq!(open(&fleet), ["a"], "a new process under the id");
 }
 
+#[test]
+fn replaced_processes() {
+    let mut fleet = Fleet::default();
+    fleet.observe("a", present(1, 1), 0);
+    fleet.observe("b", present(1, 2), 0);
+    let (a, b) = (fleet.by_id("a").unwrap(), fleet.by_id("b").unwrap());
+    fleet.observe("c", present(5, 3), 1);
+    fleet.observe("a", Observation::Dropped, 1);
+    assert!(!fleet.is_replaced(a) && !fleet.is_replaced(b));
+    fleet.observe("a", present(5, 4), 2);
+    assert!(fleet.is_replaced(a), "a new process under the id");
+    fleet.observe("d", present(5, 2), 3);
+    assert!(fleet.is_replaced(b), "a new process at the address");
+}
+
 #[test]
 fn told_before_listed() {
     let mut fleet = Fleet::default();
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -211,7 +211,10 @@
         let reading = Self::read_own_response(call, &mut upstream, is_reused, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
         let read = match self.unless_silent(call, key, reading).await {
-            None => return AttemptEnd::NoResponse(Outcome::Silent),
+            None => {
+                self.record_unexplained(call, key);
+                return AttemptEnd::NoResponse(Outcome::Silent);
+            }
             Some(Ok(read)) => read,
             Some(Err(_)) => {
                 let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
--- a/daemon/src/crash_ledger.rs
+++ b/daemon/src/crash_ledger.rs
@@ -138,24 +138,24 @@
         by_part.chain(by_request.then(|| id(REQUEST, request.fingerprint.0))).collect()
     }
 
-    /// Records that one of `backends` backends crashed while it had a request. `is_trial` tells whether
-    /// the request was a trial.
+    /// Records that one of `backends` backends crashed at `at_ms` while it had a request. `is_trial` tells
+    /// whether the request was a trial.
     pub fn record_crash(
         &self,
         backend: &Member,
         backends: u32,
         request: RequestKeys<'_>,
         is_trial: bool,
+        at_ms: u64,
     ) {
         let id = CrashId::of(&backend.id, backend.announcement.started_at_ms);
         let RequestKeys { service, parts, fingerprint, attempt } = request;
         let mut ledger = self.lock();
         let suspects = ledger.service(service);
-        let now = now_ms();
         let parts = parts.iter().copied();
-        suspects.parts.record_crash(id, backends, fingerprint, parts, is_trial, now);
-        suspects.requests.record_crash(id, backends, attempt, [fingerprint], is_trial, now);
-        ledger.crash_seen_at_ms = Some(now);
+        suspects.parts.record_crash(id, backends, fingerprint, parts, is_trial, at_ms);
+        suspects.requests.record_crash(id, backends, attempt, [fingerprint], is_trial, at_ms);
+        ledger.crash_seen_at_ms = Some(now_ms());
         ledger.is_unsent = true;
     }
 
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use currantlink_core::fleet::FleetKey;
+use currantlink_core::ids::{Fingerprint, PromptPart};
 use currantlink_core::retry::{Outcome, RetryState};
 use currantlink_core::suspects::Verdict;
 use currantlink_platform::response::KeepAlive;
 
 use crate::clock::now_ms;
+use crate::crash_ledger::RequestKeys;
 use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
 use crate::trials::Trial;
@@ -20,6 +22,10 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a backend that refused a connection is not tried again.
 const REFUSED_PAUSE_MS: u64 = 1_000;
+/// Time within which the list shows that a backend's process has ended.
+const EXPLAINED_WITHIN_MS: u64 = 10_000;
+/// Maximum number of losses that are not explained.
+const MAX_UNEXPLAINED: usize = 256;
 /// Longest time after which a request that waits for a trial looks again.
 const TRIAL_POLL: Duration = Duration::from_millis(100);
 /// Length of an unfinished answer that shows that its request does not crash the backend. Requests
@@ -48,6 +54,24 @@
     }
 }
 
+/// A request that a backend did not answer, for a reason that is not known yet.
+pub(crate) struct UnexplainedLoss {
+    key: FleetKey,
+    at_ms: u64,
+    service: String,
+    parts: Vec<PromptPart>,
+    fingerprint: Fingerprint,
+    attempt: Fingerprint,
+    is_trial: bool,
+}
+
+impl UnexplainedLoss {
+    fn keys(&self) -> RequestKeys<'_> {
+        let Self { service, parts, fingerprint, attempt, .. } = self;
+        RequestKeys { service, parts, fingerprint: *fingerprint, attempt: *attempt }
+    }
+}
+
 /// How far the answer of one backend has come.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnswerProgress {
@@ -108,8 +132,9 @@
         error: &UpstreamError,
     ) -> Outcome {
         let state = self.check_lost(call, key, error).await;
-        if state == BackendState::Crashed {
-            self.record_crash(call, key);
+        match state {
+            BackendState::Crashed => self.record_crash(call, key),
+            BackendState::Alive | BackendState::Unknown => self.record_unexplained(call, key),
         }
         state.into()
     }
@@ -129,6 +154,7 @@
             BackendState::Alive if answer.has_begun() => {
                 self.crashes.record_begun(call.keys(), sent_at_ms);
             }
+            _ if !answer.is_sound() => self.record_unexplained(call, key),
             _ => {}
         }
     }
@@ -281,18 +307,61 @@
     }
 
     fn record_crash(&self, call: &Call, key: FleetKey) {
-        let snapshot = self.snapshot.load();
         let trial = call.trial.take();
+        let is_trial = trial.as_ref().is_some_and(Trial::is_begun);
+        self.record_crash_of(key, call.keys(), is_trial, now_ms());
+        trial.into_iter().for_each(Trial::end_with_crash);
+    }
+
+    fn record_crash_of(&self, key: FleetKey, keys: RequestKeys<'_>, is_trial: bool, at_ms: u64) {
+        let snapshot = self.snapshot.load();
         // A backend that leaves exits by itself.
         if let Some(member) = snapshot.fleet.get(key).filter(|member| !member.leaving) {
             let backends = snapshot.fleet.available(&member.announcement.service).count() as u32;
-            let is_trial = trial.as_ref().is_some_and(Trial::is_begun);
-            self.crashes.record_crash(member, backends, call.keys(), is_trial);
-            trial.into_iter().for_each(Trial::end_with_crash);
+            self.crashes.record_crash(member, backends, keys, is_trial, at_ms);
             self.trials.wake_control();
         }
     }
 
+    /// Records that a backend did not answer a request, for a reason that is not known yet.
+    pub(crate) fn record_unexplained(&self, call: &Call, key: FleetKey) {
+        let RequestKeys { service, parts, fingerprint, attempt } = call.keys();
+        let loss = UnexplainedLoss {
+            key,
+            at_ms: now_ms(),
+            service: service.to_owned(),
+            parts: parts.to_vec(),
+            fingerprint,
+            attempt,
+            is_trial: call.trial.borrow().as_ref().is_some_and(Trial::is_begun),
+        };
+        let losses = &mut self.observations.borrow_mut().unexplained_losses;
+        if losses.len() == MAX_UNEXPLAINED {
+            losses.pop_front();
+        }
+        losses.push_back(loss);
+    }
+
+    /// Records crashes for losses that the list explains by now: another process has the backend's id or
+    /// its address.
+    pub(crate) fn explain_losses(&self) {
+        let (snapshot, now) = (self.snapshot.load(), now_ms());
+        let losses = std::mem::take(&mut self.observations.borrow_mut().unexplained_losses);
+        for loss in losses {
+            match snapshot.fleet.is_replaced(loss.key) {
+                true => {
+                    log::info!(fingerprint:% = loss.fingerprint, after_ms = now - loss.at_ms;
+                        "a request was lost with the process of its backend");
+                    self.record_crash_of(loss.key, loss.keys(), loss.is_trial, loss.at_ms);
+                }
+                false if loss.at_ms + EXPLAINED_WITHIN_MS > now => {
+                    self.observations.borrow_mut().unexplained_losses.push_back(loss);
+                }
+                false => {}
+            }
+        }
+    }
+
     fn log_crash(&self, call: &Call, key: FleetKey) {
         let snapshot = self.snapshot.load();
         let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -227,6 +227,7 @@
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         gateway.update_silent();
+        gateway.explain_losses();
     }
 }
 
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -1,6 +1,7 @@
 //! Request handling of a gateway: routing, authentication, body, dispatch, response.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
 use crate::crash_ledger::{CrashLedger, RequestKeys};
+use crate::crashes::UnexplainedLoss;
 use crate::departure::{Departure, Progress};
 use crate::deployment_settings::GatewaySettings;
 use crate::gateway::SharedState;
@@ -88,6 +90,7 @@
     pub(crate) arrivals: IndexMap<String, ArrivalRate>,
     /// Pauses between the events of streams in progress, by service.
     pub(crate) stream_pace: IndexMap<String, StreamPace>,
+    pub(crate) unexplained_losses: VecDeque<UnexplainedLoss>,
     pub(crate) first_deadlines: IndexMap<String, FirstDeadlines>,
     /// Time at which a request was last rejected.
     pub(crate) rejected_at_ms: Option<u64>,
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -132,6 +132,9 @@
                 StreamRead::Timeout => return self.truncate("timeout"),
                 StreamRead::Discontinuous => return self.truncate("discontinuous"),
                 StreamRead::Silent => {
+                    if !backend_stream.answer.has_begun() {
+                        self.gateway.record_unexplained(&self.call, key);
+                    }
                     if !self.resume(Outcome::Silent).await {
                         return self.truncate("silent");
                     }
--- a/daemon/tests/crashing_requests.rs
+++ b/daemon/tests/crashing_requests.rs
@@ -70,6 +70,24 @@
     }
 }
 
+#[tokio::test]
+async fn instant_successors() {
+    let (deployment, _directory) = start().await;
+    for backend in &deployment.plain_backends {
+        backend.set_down_time(Duration::ZERO);
+    }
+    let late = send_crashing(&deployment, 20).await;
+    let l = logs(&deployment);
+    eprintln!(
+        "DBG crashed {} unknown {} reached {} total {}",
+        l.matches("backend crashed with").count(),
+        l.matches("outcome=unknown").count(),
+        reached(&deployment),
+        harness::crashes(&deployment.plain_backends)
+    );
+    assert!(late <= LATE, "the request reached backends {late} times too late");
+}
+
 #[tokio::test]
 async fn told_requests() {
     let (mut deployment, _directory) = start().await;
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -133,6 +133,7 @@
     named_rate: Option<String>,
     requested_pause: Option<String>,
     is_leaving: bool,
+    down_time: Option<Duration>,
     arrived: Vec<Arrival>,
     queued_since: Vec<Instant>,
 }
@@ -193,24 +194,29 @@
         let bound = listener.local_addr()?;
         let backend = self.clone();
         tokio::spawn(async move {
-            backend.accept_until_crash(listener).await;
+            let mut listener = listener;
             loop {
-                tokio::time::sleep(DOWN_TIME).await;
-                let listener = loop {
-                    match TcpListener::bind(bound).await {
-                        Ok(listener) => break listener,
-                        Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
-                    }
-                };
+                backend.accept_until_crash(&listener).await;
+                let down_time = backend.state().down_time.unwrap_or(DOWN_TIME);
+                // A successor that takes over the listening socket is there at once.
+                if !down_time.is_zero() {
+                    drop(listener);
+                    tokio::time::sleep(down_time).await;
+                    listener = loop {
+                        match TcpListener::bind(bound).await {
+                            Ok(listener) => break listener,
+                            Err(_) => tokio::time::sleep(BIND_RETRY_INTERVAL).await,
+                        }
+                    };
+                }
                 backend.state().is_leaving = false;
                 backend.restarts.send_modify(|restarts| *restarts += 1);
-                backend.accept_until_crash(listener).await;
             }
         });
         Ok(bound)
     }
 
-    async fn accept_until_crash(&self, listener: TcpListener) {
+    async fn accept_until_crash(&self, listener: &TcpListener) {
         let mut crashes = self.crashes.subscribe();
         loop {
             let stream = tokio::select! {
@@ -238,6 +244,11 @@
         self.crashes.send_modify(|crashes| *crashes += 1);
     }
 
+    /// Sets the time for which the backend is down after a crash; zero if a successor listens at once.
+    pub fn set_down_time(&self, down_time: Duration) {
+        self.state().down_time = Some(down_time);
+    }
+
     /// Returns how many times the backend has crashed.
     pub fn crashes(&self) -> u32 {
         *self.crashes.borrow()
