Judge a request once before its first look at trials

begin_trial checked suspicion before the loop and again at once in it, so each dispatch asked the ledger twice. The check in the loop now follows each wait; what is sent, refused or waits is the same. parallel_crashes and crashing_requests pass, formatter and clippy of the daemon are clean.

--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -202,9 +202,6 @@
         self.check_suspicion(call, relay)?;
         loop {
             let changed = self.trials.changed();
-            if !is_probe {
-                self.check_suspicion(call, relay)?;
-            }
             if trial.try_begin_all(self.crashes.trial_ids(call.keys())) {
                 break;
             }
@@ -214,6 +211,9 @@
             }
             // An interval without a change has the same effect as a change.
             drop(tokio::time::timeout_at(until.min(now + TRIAL_POLL), changed).await);
+            if !is_probe {
+                self.check_suspicion(call, relay)?;
+            }
         }
         if trial.is_begun() {
             log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
