Let moved requests wait while their group stands still

An agent stops, the gateway takes the requests away from its backend, and at that moment the reports of the other ranks say that the group is forming or stalled: "all backend groups are forming or stalled", and the request is given up, although it may run again and the group is back within a second. Streams in progress were cut off for the same reason.

Cause: a request that finds its group forming is rejected at once. That suits a new one, whose caller returns, but not one that may have run: its caller gets no answer at all. A rank that stops is also what makes its group stand still, so the two come together in a real deployment.

--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -31,6 +31,15 @@
     Returned,
 }
 
+impl Origin {
+    /// Returns whether a request also waits while the groups of all backends are forming or stalled.
+    ///
+    /// The caller of a new one can send it again, but that of a moved one would lose its answer.
+    pub fn waits_for_groups(self) -> bool {
+        self == Origin::Moved
+    }
+}
+
 /// A request that waits for a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -87,11 +96,14 @@
 
     /// Adds a request, or returns `None` if it would wait for longer than it can.
     ///
-    /// `interval_ms` is the expected time between two requests that are sent from this queue.
+    /// `interval_ms` is the expected time between two requests that are sent from this queue. A moved
+    /// request joins whatever it is: while a group waits for the rank that has stopped, its pace does
+    /// not tell when it goes on.
     pub fn join(&mut self, now_ms: u64, request: Waiting, interval_ms: f64) -> Option<TurnKey> {
         let ahead = self.waiting.values().filter(|other| other.origin <= request.origin).count();
         let wait_ms = (ahead + 1) as f64 * interval_ms;
-        if now_ms as f64 + wait_ms > request.until_ms as f64 {
+        let is_late = now_ms as f64 + wait_ms > request.until_ms as f64;
+        if is_late && !request.origin.waits_for_groups() {
             return None;
         }
         self.last_key += 1;
--- a/core/tests/turns.rs
+++ b/core/tests/turns.rs
@@ -66,6 +66,15 @@
     assert_eq!(queue.join(0, request, 5_000.0), None, "nothing is sent for seconds");
 }
 
+#[test]
+fn moved_during_stall() {
+    let mut queue = WaitQueue::default();
+    let moved: Vec<_> =
+        (0..3).map(|_| queue.join(0, waiting(Origin::Moved, 0), 5_000.0).unwrap()).collect();
+    assert_eq!(queue.join(0, waiting(Origin::Returned, 0), 5_000.0), None);
+    assert_eq!(sent(&mut queue, 1), moved);
+}
+
 #[test]
 fn returned_share() {
     let mut queue = WaitQueue::default();
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -9,6 +9,7 @@
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
 use currantlink_core::stream_pace::StreamPace;
+use derive_more::From;
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
@@ -45,13 +46,28 @@
 
 /// Why no backend was selected.
 pub enum PlacementError {
-    /// All backends that were compared are at their limits.
-    Full(FullBackends),
+    /// No backend takes the request now, but one may soon.
+    Unavailable(Unavailable),
     /// No backend can take the request.
     Rejected(Rejection),
 }
 
-/// What was known of backends that are all at their limits, for the log.
+/// What was known of backends that do not take a request now, for the log.
+#[derive(From)]
+pub enum Unavailable {
+    /// All backends that were compared are at their limits.
+    Full(FullBackends),
+    /// The groups of all backends are forming or stalled.
+    #[from(ignore)]
+    Forming {
+        /// Number of backends.
+        candidates: usize,
+        /// Age of the oldest report that says so.
+        report_age_ms: Option<u64>,
+    },
+}
+
+/// Backends that are all at their limits.
 pub struct FullBackends {
     least_load: Option<u32>,
     slots: u32,
@@ -114,27 +130,27 @@
                     "request placed");
                 Ok(Placement { key, running: mean_running(&candidates) })
             }
-            Choice::Full { excess } => Err(PlacementError::Full(FullBackends {
-                least_load: candidates.iter().map(Candidate::load).min(),
-                slots,
-                limits,
-                excess,
-                candidates: candidates.len(),
-            })),
+            Choice::Full { excess } => Err(PlacementError::Unavailable(
+                FullBackends {
+                    least_load: candidates.iter().map(Candidate::load).min(),
+                    slots,
+                    limits,
+                    excess,
+                    candidates: candidates.len(),
+                }
+                .into(),
+            )),
             Choice::Forming => {
                 let ages = candidates.iter().filter_map(|c| c.report).map(|r| r.age_ms(now));
-                log::info!(request = call.attempt_id.as_str(), candidates = candidates.len(),
-                    report_age_ms = ages.max(); "all backend groups are forming or stalled");
-                Err(PlacementError::Rejected(self.not_run_rejection(call, NotRunReason::Forming)))
+                Err(PlacementError::Unavailable(Unavailable::Forming {
+                    candidates: candidates.len(),
+                    report_age_ms: ages.max(),
+                }))
             }
             Choice::NoBackend if Self::may_outwait(call, excluded) => {
-                Err(PlacementError::Full(FullBackends {
-                    least_load: None,
-                    slots,
-                    limits,
-                    excess: 0,
-                    candidates: 0,
-                }))
+                let least_load = None;
+                let full = FullBackends { least_load, slots, limits, excess: 0, candidates: 0 };
+                Err(PlacementError::Unavailable(full.into()))
             }
             Choice::NoBackend => Err(PlacementError::Rejected(
                 self.no_backend_rejection(call, tried, is_capped, excluded),
@@ -142,19 +158,25 @@
         }
     }
 
-    /// Rejects a request because all backends are full. `full` is what was known of them, unless the
+    /// Rejects a request that no backend takes now. `unavailable` is what was known of them, unless the
     /// request found others waiting; `interval_ms` is the expected time between two turns.
-    pub(crate) fn full_rejection(
+    pub(crate) fn unavailable_rejection(
         &self,
         call: &Call,
-        full: Option<FullBackends>,
+        unavailable: Option<Unavailable>,
         interval_ms: f64,
     ) -> Rejection {
         let (request, route) = (call.attempt_id.as_str(), call.route().name.as_str());
         let waiting = self.turns.count(&call.service().name);
         let (returned, config_version) = (call.is_client_retry, call.table.version());
-        match full {
-            Some(FullBackends { least_load, slots, limits, excess, candidates }) => {
+        match unavailable {
+            Some(Unavailable::Forming { candidates, report_age_ms }) => {
+                log::info!(request, candidates, report_age_ms, waiting;
+                    "all backend groups are forming or stalled");
+                return self.not_run_rejection(call, NotRunReason::Forming);
+            }
+            Some(Unavailable::Full(full)) => {
+                let FullBackends { least_load, slots, limits, excess, candidates } = full;
                 log::info!(request, route, least_load, slots, queue_limit = limits.queued,
                     running_limit = limits.running, excess, candidates, waiting, returned,
                     config_version; "backends full");
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::clock::now_ms;
-use crate::placement::{Placement, PlacementError};
+use crate::placement::{Placement, PlacementError, Unavailable};
 use crate::rejection::Rejection;
 use crate::request_handler::{Call, Gateway};
 
@@ -105,28 +105,29 @@
         let service = &call.service().name;
         self.record_arrival(service);
         let may_wait = call.service().engine.is_some();
-        let mut full = None;
+        let origin = origin(call, relay);
+        let mut unavailable = None;
         if !may_wait || self.turns.count(service) == 0 {
             match self.place(call, tried) {
-                Err(PlacementError::Full(backends)) => full = Some(backends),
+                Err(PlacementError::Unavailable(backends)) => unavailable = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => return Ok(placement),
             }
         }
         let interval_ms = self.release_interval_ms(call);
-        if !may_wait {
-            return Err(self.full_rejection(call, full, interval_ms));
+        if !may_wait || !is_worth_waiting(unavailable.as_ref(), origin) {
+            return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         }
-        let waiting = self.waiting(call, relay, !tried.is_empty());
+        let waiting = self.waiting(call, origin, !tried.is_empty());
         let Some(turn) = self.turns.join(service, waiting, interval_ms) else {
-            return Err(self.full_rejection(call, full, interval_ms));
+            return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         };
         let wait = Duration::from_millis(waiting.until_ms - waiting.since_ms);
         let until = call.deadline.min(Instant::now() + wait);
         self.pool.changed().notify_one();
         while tokio::time::timeout_at(until, turn.waker.notified()).await.is_ok() {
             match self.place(call, tried) {
-                Err(PlacementError::Full(backends)) => full = Some(backends),
+                Err(PlacementError::Unavailable(backends)) => unavailable = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => {
                     turn.record_sent();
@@ -136,8 +137,11 @@
                     return Ok(placement);
                 }
             }
+            if !is_worth_waiting(unavailable.as_ref(), origin) {
+                break;
+            }
         }
-        Err(self.full_rejection(call, full, interval_ms))
+        Err(self.unavailable_rejection(call, unavailable, interval_ms))
     }
 
     fn record_arrival(&self, service: &str) {
@@ -153,8 +157,7 @@
         Duration::from_millis(waiting.until_ms - waiting.since_ms)
     }
 
-    fn waiting(&self, call: &Call, relay: &RetryState, has_tried: bool) -> Waiting {
-        let origin = origin(call, relay);
+    fn waiting(&self, call: &Call, origin: Origin, has_tried: bool) -> Waiting {
         let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
         let left_ms =
             call.route().target_ms.saturating_sub(elapsed_ms + self.start_ms(call) as u64);
@@ -162,6 +165,14 @@
     }
 }
 
+/// Returns whether a request waits for backends that do not take it now.
+fn is_worth_waiting(unavailable: Option<&Unavailable>, origin: Origin) -> bool {
+    match unavailable {
+        Some(Unavailable::Forming { .. }) => origin.waits_for_groups(),
+        Some(Unavailable::Full(_)) | None => true,
+    }
+}
+
 fn origin(call: &Call, relay: &RetryState) -> Origin {
     match relay.may_have_run() {
         true => Origin::Moved,
--- a/daemon/tests/silent_backends.rs
+++ b/daemon/tests/silent_backends.rs
@@ -4,6 +4,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use currantlink_standins::backends::{Backend, Fault, Run};
 use currantlink_standins::deployment::{
     self, ClientRequest, Deployment, RESUMABLE, Shape, wait_until,
@@ -12,6 +14,7 @@
 use nix::unistd::Pid;
 
 const REQUESTS: usize = 12;
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 
 async fn start() -> (Deployment, tempfile::TempDir) {
     let shape = Shape { ranks: 3, ..Shape::default() };
@@ -72,6 +75,38 @@
     }
 }
 
+#[tokio::test]
+async fn stalled_group() {
+    let (deployment, _directory) = start().await;
+    let group = deployment.group.as_ref().unwrap();
+    group.set_stalled(true);
+    let address = deployment.gateways[0].callers;
+    let send = |index: usize| {
+        let id = format!("r-{index}");
+        tokio::spawn(async move {
+            deployment::send_request(address, &ClientRequest::new("POST", RESUMABLE, &id)).await
+        })
+    };
+    let requests: Vec<_> = (0..REQUESTS).map(send).collect();
+    let is_stalled = || async {
+        let request = ClientRequest::new("POST", RESUMABLE, "probe");
+        let probe = deployment::send_request(address, &request);
+        // A request that was placed before the stall was reported has no response yet.
+        drop(tokio::time::timeout(PROBE_INTERVAL, probe).await);
+        log(&deployment).contains("all backend groups are forming or stalled")
+    };
+    wait_until(is_stalled).await;
+    stop_agent(&deployment, 0);
+    let is_abandoned =
+        || async { log(&deployment).contains("attempt abandoned at a silent backend") };
+    wait_until(is_abandoned).await;
+    group.set_stalled(false);
+    for request in requests {
+        let response = request.await.unwrap();
+        assert_eq!((response.code(), response.is_complete), (200, true), "{}", response.text());
+    }
+}
+
 #[tokio::test]
 async fn stranded_streams() {
     let (deployment, _directory) = start().await;
--- a/standins/src/lockstep.rs
+++ b/standins/src/lockstep.rs
@@ -24,6 +24,7 @@
     mixed_map_passes: u64,
     held_duration: Duration,
     order_responses_to_lose: u32,
+    is_stalled: bool,
 }
 
 impl Lockstep {
@@ -38,6 +39,7 @@
             mixed_map_passes,
             held_duration,
             order_responses_to_lose,
+            is_stalled: false,
         }));
         let (begun, passes) = watch::channel(0);
         let (weak, started) = (Arc::downgrade(&state), Instant::now());
@@ -91,6 +93,11 @@
         self.lock().order_responses_to_lose = count;
     }
 
+    /// Stops the passes of all ranks, as one rank that has stopped does, or lets them go on.
+    pub fn set_stalled(&self, is_stalled: bool) {
+        self.lock().is_stalled = is_stalled;
+    }
+
     /// Returns a snapshot of a rank.
     pub fn rank(&self, rank: usize) -> Rank {
         self.lock().ranks[rank].clone()
@@ -120,9 +127,12 @@
 }
 
 impl State {
-    /// Begins a pass unless a rank is held; returns whether the pass began.
+    /// Begins a pass unless a rank is held or the group is stalled; returns whether the pass began.
     fn begin_pass(&mut self, step: u64, now_ms: u64) -> bool {
         self.ranks.iter_mut().for_each(|rank| rank.finish_copy(now_ms));
+        if self.is_stalled {
+            return false;
+        }
         if self.ranks.iter().any(|rank| rank.state.held_step.is_some_and(|held| held <= step)) {
             self.held_duration += PASS_INTERVAL;
             return false;
