Divide the room of a backend exactly among the gateways

Cause: each gateway divided the room that a report shows by a number that it drew by itself, so several took the same slot and others nobody took.

Change: the agent draws the number, anew each 240 ms so that the same gateway has a slot until a report shows what it sent, and each gateway adds its rank among the names of all gateways. Until an agent of this version reports, the number is 0, and the first gateways have the remainder.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -68,7 +68,7 @@
     pub is_serving: bool,
     /// Mean interval between recent reports.
     pub interval_ms: f64,
-    /// Uniform random number, drawn by the gateway that received the report.
+    /// Random number that the report names, plus the rank of this gateway among all gateways.
     pub draw: u64,
 }
 
@@ -132,7 +132,7 @@
     /// that a gateway's own requests leave is its own.
     fn has_room(&self, limits: Limits, competing: usize) -> bool {
         let share = match (self.reported_room(limits), self.report) {
-            (Some(room), Some(report)) => random_share(room, competing, report.draw),
+            (Some(room), Some(report)) => share_of_room(room, competing, report.draw),
             (None, _) | (_, None) => limits.max_load(self),
         };
         self.load() < limits.max_load(self)
@@ -199,8 +199,8 @@
     (backends / gateways.max(1)).max(MIN_SAMPLE)
 }
 
-/// Divides `room` among `gateways` that draw independently. The expected sum of their shares is `room`.
-fn random_share(room: u32, gateways: usize, draw: u64) -> u32 {
+/// Divides `room` among `gateways` that have consecutive numbers. The sum of their shares is `room`.
+fn share_of_room(room: u32, gateways: usize, draw: u64) -> u32 {
     let gateways = gateways.max(1) as u64;
     let room = u64::from(room);
     (room / gateways + u64::from(draw % gateways < room % gateways)) as u32
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -155,6 +155,23 @@
     assert_eq!(choose_among_all(&[refilled], queued(0), 0), Choice::Full { excess: 1 });
 }
 
+#[test]
+fn exact_division() {
+    for (gateways, room) in [(2, 1), (3, 2), (5, 4), (34, 3)] {
+        for number in [0_u64, 7, 1 << 40] {
+            let sent = (0..gateways).filter(|&rank| {
+                let draw = number.wrapping_add(rank);
+                let load =
+                    LoadReport { active: 4 - room, is_serving: true, draw, ..Default::default() };
+                let backend = Candidate { report: Some(load), ..candidate(1, 0) };
+                let choice = choose(&[backend], queued(0), gateways as usize, 1, 0);
+                matches!(choice, Choice::Send(_))
+            });
+            assert_eq!(sent.count(), (room as usize).min(gateways as usize), "{gateways} gateways");
+        }
+    }
+}
+
 #[test]
 fn retry_jitter() {
     let times: Vec<u64> = (0..5_000).map(|draw| retry_after_ms(false, 0, 8_000, draw)).collect();
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -24,6 +24,8 @@
 /// Time without an event after which callers leave.
 const PATIENCE_MS: u64 = 2_000;
 const REPORT_MS: u64 = 80;
+/// Time for which reports name the same random number.
+const DIVISION_MS: u64 = 240;
 const WAKE_MS: u64 = 20;
 const CALM_MS: u64 = 10_000;
 const RUN_MS: u64 = 40_000;
@@ -75,6 +77,8 @@
 
 struct Play {
     engines: Vec<Engine>,
+    /// By engine: the random number that its reports name, and when it was drawn.
+    divisions: Vec<(u64, u64)>,
     gateways: Vec<Gateway>,
     returning: Vec<(u64, Request)>,
     random: u64,
@@ -106,6 +110,7 @@
         };
         Self {
             engines: (0..engines).map(|_| Engine::default()).collect(),
+            divisions: vec![(0, 0); engines],
             gateways: (0..gateways).map(|_| gateway()).collect(),
             returning: Vec::new(),
             random: 0x9E37_79B9_7F4A_7C15,
@@ -277,8 +282,12 @@
     fn report(&mut self, engine: usize) {
         let (active, queued) =
             (self.engines[engine].running.len() as u32, self.engines[engine].queue.len() as u32);
+        let (number, drawn_at_ms) = self.divisions[engine];
+        if self.now_ms >= drawn_at_ms + DIVISION_MS {
+            self.divisions[engine] = (self.random(), self.now_ms);
+        }
         for gateway in 0..self.gateways.len() {
-            let draw = self.random();
+            let draw = number.wrapping_add(gateway as u64);
             let own = &mut self.gateways[gateway];
             own.reports[engine] =
                 LoadReport { active, queued, is_serving: true, draw, ..LoadReport::default() };
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -37,6 +37,9 @@
 const CHANGE_ACTIVE_MS: u64 = 300;
 /// Interval between load reports while the load is unchanged.
 pub const LOAD_INTERVAL_MS: u64 = 240;
+/// Time for which reports name the same random number. If it were shorter, several gateways would use the
+/// same room one after the other before a report shows their requests.
+const DIVISION_PERIOD_MS: u64 = 240;
 
 /// Time without a new forward pass after which a backend with requests counts as stalled. A forward
 /// pass takes some tens of milliseconds.
@@ -127,6 +130,22 @@
     Ok(())
 }
 
+/// Random number by which the gateways divide the room of a backend.
+#[derive(Default)]
+struct Division {
+    number: u64,
+    drawn_at_ms: Option<u64>,
+}
+
+impl Division {
+    fn number(&mut self, now_ms: u64) -> u64 {
+        if self.drawn_at_ms.is_none_or(|at_ms| now_ms >= at_ms + DIVISION_PERIOD_MS) {
+            *self = Self { number: rand::random(), drawn_at_ms: Some(now_ms) };
+        }
+        self.number
+    }
+}
+
 struct Agent {
     settings: AgentSettings,
     peers: Peers,
@@ -151,6 +170,7 @@
     heartbeat_sent_ms: u64,
     report_sent_ms: u64,
     load_sent: Option<(u64, Load)>,
+    division: Division,
     order_senders: IndexMap<SocketAddr, mpsc::UnboundedSender<Order>>,
     /// Step of the last forward pass, and the time at which it was first observed, in milliseconds.
     last_pass: (u64, u64),
@@ -189,6 +209,7 @@
             heartbeat_sent_ms: 0,
             report_sent_ms: 0,
             load_sent: None,
+            division: Division::default(),
             order_senders: IndexMap::new(),
             last_pass: (0, 0),
             known_maps: KnownMaps::default(),
@@ -314,6 +335,7 @@
             queued: state.queued,
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
+            draw: self.division.number(now),
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -331,6 +331,8 @@
     fleet: Fleet,
     leaving: VecDeque<(u64, Leaving)>,
     crashes_sent_at_ms: u64,
+    /// Rank of this gateway among all gateways, by which they divide the room of a backend.
+    division_rank: u64,
     /// Addresses of gateways that have not been told of earlier crashes.
     untold: Vec<SocketAddr>,
 }
@@ -340,8 +342,17 @@
         let snapshot =
             RoutingSnapshot { gateway_count: ASSUMED_GATEWAYS, ..RoutingSnapshot::default() };
         let (fleet, leaving) = (Fleet::default(), VecDeque::new());
-        let untold = Vec::new();
-        Self { peers, shared, readers, snapshot, fleet, leaving, crashes_sent_at_ms: 0, untold }
+        Self {
+            peers,
+            shared,
+            readers,
+            snapshot,
+            fleet,
+            leaving,
+            crashes_sent_at_ms: 0,
+            division_rank: 0,
+            untold: Vec::new(),
+        }
     }
 
     async fn apply_update(&mut self, update: Update) {
@@ -448,11 +459,11 @@
         let Ok(address) = load.backend_address.parse::<SocketAddr>() else {
             return;
         };
-        let Load { active, queued, is_open, is_stalled, .. } = *load;
+        let Load { active, queued, is_open, is_stalled, draw, .. } = *load;
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
-        let draw = rand::random();
+        let draw = draw.wrapping_add(self.division_rank);
         let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
         self.shared.load_reports.record(address, report);
     }
@@ -466,6 +477,10 @@
         metrics::gauge!("currantlink_refused_prompt_parts").set(refused_parts as f64);
         metrics::gauge!("currantlink_refused_requests").set(refused_requests as f64);
         let gateway_count = gateways.as_ref().map_or(ASSUMED_GATEWAYS, Vec::len);
+        let rank = |names: &Vec<String>| names.binary_search(&self.peers.own().name).ok();
+        if let Some(rank) = gateways.as_ref().and_then(rank) {
+            self.division_rank = rank as u64;
+        }
         self.readers.gateway_counts.send_replace(gateways.as_ref().map_or(1, Vec::len));
         self.shared.stated_limits.set_gateways(gateways);
         let settled = self.fleet.remove_expired(now);
