--- a/core/tests/suspects.rs
+++ b/core/tests/suspects.rs
@@ -500,7 +500,11 @@
 }
 
 fn check(day: Day, seeds: u64) {
-    for seed in 0..seeds {
+    check_seeds(day, 0..seeds);
+}
+
+fn check_seeds(day: Day, seeds: impl IntoIterator<Item = u64>) {
+    for seed in seeds {
         let outcome = Simulation::new(day, seed).run();
         let (late, refused) = (outcome.late, outcome.sound_refused);
         assert!(late <= LATE * day.crashing_parts as usize, "seed {seed}: {outcome:?}");
@@ -593,6 +597,12 @@
     check(Day { mass_crash_every_ms: Some(2_000), ..day }, 20);
 }
 
+#[test]
+fn sparse_mass_failures() {
+    let day = Day { crashing_parts: 0, crashing_per_s: 0.0, sound_per_s: 5.0, ..CALM };
+    check_seeds(Day { mass_crash_every_ms: Some(2_000), ..day }, [139]);
+}
+
 #[test]
 fn mass_failures() {
     let day = Day { crashing_parts: 0, crashing_per_s: 0.0, ..CALM };
