Shorten the number that divides the room of a backend

Agents send it with each load report to each gateway; as a random number of 64 bits it takes up to eleven bytes, with 16 bits up to four (by its encoding). backend_queues and silent_backends pass.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -133,12 +133,12 @@
 /// Random number by which the gateways divide the room of a backend.
 #[derive(Default)]
 struct Division {
-    number: u64,
+    number: u16,
     drawn_at_ms: Option<u64>,
 }
 
 impl Division {
-    fn number(&mut self, now_ms: u64) -> u64 {
+    fn number(&mut self, now_ms: u64) -> u16 {
         if self.drawn_at_ms.is_none_or(|at_ms| now_ms >= at_ms + DIVISION_PERIOD_MS) {
             *self = Self { number: rand::random(), drawn_at_ms: Some(now_ms) };
         }
@@ -335,7 +335,7 @@
             queued: state.queued,
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
-            draw: self.division.number(now),
+            draw: self.division.number(now).into(),
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -463,7 +463,7 @@
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
-        let draw = draw.wrapping_add(self.division_rank);
+        let draw = u64::from(draw) + self.division_rank;
         let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
         self.shared.load_reports.record(address, report);
     }
