--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -83,6 +83,7 @@
     waiting: IndexMap<TurnKey, Waiting>,
     last_key: u64,
     sent: u32,
+    /// Time at which a new request was last rejected.
     new_rejected_at_ms: Option<u64>,
 }
 
@@ -156,7 +157,7 @@
     /// more than can be sent in time: the one that came last is then the most certain to be on time.
     fn next(&self, now_ms: u64, is_eligible: impl Fn(&Waiting) -> bool) -> Option<TurnKey> {
         let is_returned_turn = self.sent % RETURNED_PERIOD == RETURNED_PERIOD - 1;
-        let is_returned_excluded = self.is_overloaded(now_ms) && !is_returned_turn;
+        let may_return = is_returned_turn || !self.is_overloaded(now_ms);
         let mut new = self.waiting.values().filter(|request| request.origin == Origin::New);
         let are_new_delayed = new.any(|request| request.is_old(now_ms));
         let rank = |(key, request): &(&TurnKey, &Waiting)| {
@@ -172,23 +173,20 @@
             };
             (origin, request.urgency, order)
         };
-        let is_excluded =
-            |request: &Waiting| request.origin == Origin::Returned && is_returned_excluded;
-        let eligible = self
-            .waiting
-            .iter()
-            .filter(|(_, request)| is_eligible(request) && !is_excluded(request));
+        let eligible = self.waiting.iter().filter(|(_, request)| {
+            is_eligible(request) && (may_return || request.origin != Origin::Returned)
+        });
         eligible.min_by_key(rank).map(|(&key, _)| key)
     }
 
     /// Removes a request that was sent to a backend.
     pub fn record_sent(&mut self, key: TurnKey) {
         self.remove(key);
-        self.record_overtaken();
+        self.record_sent_directly();
     }
 
-    /// Records that a request was sent that has not waited.
-    pub fn record_overtaken(&mut self) {
+    /// Records that a request was sent to a backend without waiting.
+    pub fn record_sent_directly(&mut self) {
         self.sent = self.sent.wrapping_add(1);
     }
 
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -173,7 +173,7 @@
         let is_returned = own.deadlines.is_returned(now_ms, left_ms, own.rejected_at_ms);
         let origin = if is_returned { Origin::Returned } else { Origin::New };
         if own.turns.may_overtake(origin, now_ms) && self.place(gateway, request) {
-            self.gateways[gateway].turns.record_overtaken();
+            self.gateways[gateway].turns.record_sent_directly();
             return;
         }
         let share = self.engines.len() as u32 * SLOTS / self.gateways.len() as u32;
--- a/core/tests/turns.rs
+++ b/core/tests/turns.rs
@@ -99,9 +99,9 @@
     assert!(queue.is_busy(999));
     assert!(queue.may_overtake(Origin::New, 1), "a new one can still be on time");
     assert_eq!(queue.next_turns(1).next(), None, "new requests are rejected");
-    (0..15).for_each(|_| queue.record_overtaken());
+    (0..15).for_each(|_| queue.record_sent_directly());
     assert_eq!(queue.next_turns(1).next(), Some(returned), "its turn has come");
-    queue.record_overtaken();
+    queue.record_sent_directly();
     assert_eq!(queue.next_turns(1).next(), None);
     assert_eq!(queue.next_turns(1_001).next(), Some(returned), "the overload is over");
     queue.record_sent(returned);
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -71,9 +71,9 @@
         services.get(service).is_none_or(|turns| turns.queue.may_overtake(origin, now_ms()))
     }
 
-    fn record_overtaken(&self, service: &str) {
+    fn record_sent_directly(&self, service: &str) {
         if let Some(turns) = self.0.borrow_mut().get_mut(service) {
-            turns.queue.record_overtaken();
+            turns.queue.record_sent_directly();
         }
     }
 
@@ -136,7 +136,7 @@
                 Err(PlacementError::Unavailable(backends)) => unavailable = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => {
-                    self.turns.record_overtaken(service);
+                    self.turns.record_sent_directly(service);
                     return Ok(placement);
                 }
             }
