Simplify trials, stated limits and waits

Found in the last reading of the change; no behaviour meant to change.

- dispatch maps a rejection of a request that may have run in one place; two functions had the same match again.
- A call holds a trial only if it is begun, so is_begun is not asked of it; the end of a trial wakes waiting requests once.
- Pauses and rates have one lock: placing a request locked two for each backend.
- The control thread collects the addresses of all gateways only if a trial is to be told of, not each 100 ms.
- The time left until a request is late, and the longest wait, were worked out in three places each.
- Two checks of evidence share the search for rivals, by is_subset.
A draining backend is remembered before it is looked up, so it is not checked twice.

--- a/core/src/evidence.rs
+++ b/core/src/evidence.rs
@@ -209,6 +209,16 @@
     }
 }
 
+/// Returns the other keys that explain all crashes of a key.
+fn rivals<'a, K: Eq>(
+    cases: &'a IndexMap<K, Case>,
+    key: K,
+    case: &'a Case,
+) -> impl Iterator<Item = &'a Case> {
+    let others = cases.iter().filter(move |(other, _)| **other != key).map(|(_, other)| other);
+    others.filter(|other| case.crashes.is_subset(&other.crashes))
+}
+
 /// Returns the Kullback-Leibler divergence of two Bernoulli distributions.
 fn divergence(observed: f64, expected: f64) -> f64 {
     let term = |observed: f64, expected: f64| match observed > 0.0 {
@@ -276,10 +286,9 @@
             let convicted = || {
                 let convicted = cases.iter().filter(is_convicted);
                 // The rarer of two keys explains the same crashes better.
-                let rank = |case: &Case| (case.crashes.len(), case.presence);
                 convicted.max_by(|(_, a), (_, b)| {
-                    let (a, b) = (rank(a), rank(b));
-                    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                    let by_crashes = a.crashes.len().cmp(&b.crashes.len());
+                    by_crashes.then(a.presence.total_cmp(&b.presence))
                 })
             };
             let standing = if guilty.is_some() { Standing::Guilty } else { Standing::Convicted };
@@ -354,9 +363,7 @@
     /// Returns whether no other key explains the crashes of a key. Keys that explain exactly the same
     /// crashes are all guilty if the evidence is large.
     fn is_only_explanation(&self, cases: &IndexMap<K, Case>, key: K, case: &Case) -> bool {
-        let explains = |other: &Case| case.crashes.iter().all(|id| other.crashes.contains(id));
-        let rivals = cases.iter().filter(|(other, case)| **other != key && explains(case));
-        match rivals.map(|(_, rival)| rival.crashes.len()).max() {
+        match rivals(cases, key, case).map(|rival| rival.crashes.len()).max() {
             None => true,
             Some(most) => {
                 most == case.crashes.len() && case.presence >= self.policy.min_shared_presence
@@ -366,11 +373,7 @@
 
     /// Returns whether another key explains the crashes of a key and more.
     fn has_better_explanation(&self, cases: &IndexMap<K, Case>, key: K, case: &Case) -> bool {
-        let explains_more = |other: &Case| {
-            other.crashes.len() > case.crashes.len()
-                && case.crashes.iter().all(|id| other.crashes.contains(id))
-        };
-        cases.iter().any(|(other, case)| *other != key && explains_more(case))
+        rivals(cases, key, case).any(|rival| rival.crashes.len() > case.crashes.len())
     }
 
     /// Returns the crashes by episode. An episode begins with the first crash after the last one.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -129,8 +129,7 @@
             (Observation::Present(announcement), _) => {
                 self.remove_superseded(&announcement);
                 let key = FleetKey(self.members.len() as u32);
-                let process = (id.to_owned(), announcement.started_at_ms);
-                let leaving = announcement.draining || self.leaving.contains(&process);
+                let leaving = self.leaving.contains(&(id.to_owned(), announcement.started_at_ms));
                 self.members.push(Member {
                     id: id.to_owned(),
                     announcement,
--- a/core/src/trials.rs
+++ b/core/src/trials.rs
@@ -113,6 +113,11 @@
 }
 
 impl Applicant {
+    /// Returns whether no request waits for a trial or runs as one.
+    pub fn is_idle(&self) -> bool {
+        self.trials.is_empty()
+    }
+
     /// Begins a trial if it is granted. Otherwise it is asked for as long as this is called again.
     pub fn try_begin(&mut self, id: TrialId, now_ms: u64) -> bool {
         let wanted = Trial { stage: Stage::Wanted { asked_at_ms: None }, wanted_at_ms: now_ms };
@@ -133,9 +138,8 @@
         ids: impl IntoIterator<Item = TrialId>,
         now_ms: u64,
     ) -> bool {
-        let ids = ids.into_iter().collect::<BTreeSet<_>>();
-        for id in ids.into_iter().filter(|id| !begun.contains(id)).collect::<Vec<_>>() {
-            if !self.try_begin(id, now_ms) {
+        for id in ids.into_iter().collect::<BTreeSet<_>>() {
+            if !begun.contains(&id) && !self.try_begin(id, now_ms) {
                 return false;
             }
             begun.insert(id);
--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -4,6 +4,8 @@
 //! has left. A request is rejected at once if it is expected to wait for longer than is of use to its
 //! caller.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 
 /// Longest wait of a request that returns after a rejection. It is late, but a second rejection loses
@@ -71,6 +73,11 @@
         Self { origin, urgency, has_tried: false, since_ms: now_ms, until_ms }
     }
 
+    /// Returns how long it waits at most.
+    pub fn longest(&self) -> Duration {
+        Duration::from_millis(self.until_ms - self.since_ms)
+    }
+
     /// Returns whether more than half of its time to wait is over.
     fn is_old(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.since_ms) > self.until_ms.saturating_sub(now_ms)
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -116,19 +116,12 @@
             if call.remaining().is_zero() {
                 return Err(self.deadline_rejection(call, relay));
             }
-            self.begin_trial(call, relay).await?;
-            let placement = match self.place_in_turn(call, relay, tried).await {
-                Ok(placement) => placement,
+            let placement = match self.place_cleared(call, relay, tried).await {
+                Ok(Some(placement)) => placement,
+                Ok(None) => continue,
                 Err(_) if relay.may_have_run() => return Err(Rejection::ResponseLost),
                 Err(rejection) => return Err(rejection),
             };
-            // Crashes may have become known while the request waited.
-            if self.must_wait_for_trial(call) {
-                continue;
-            }
-            if call.trial.borrow().is_none() {
-                self.check_suspicion(call, relay)?;
-            }
             tried.push(placement.key);
             let (outcome, failure) = match self.attempt(call, relay, placement, last_event_id).await
             {
@@ -169,6 +162,25 @@
         }
     }
 
+    /// Selects a backend for a request that may be sent by what is known of crashes. Returns `None` if
+    /// that has changed while the request waited for the backend.
+    async fn place_cleared(
+        &self,
+        call: &Call,
+        relay: &RetryState,
+        tried: &[FleetKey],
+    ) -> Result<Option<Placement>, Rejection> {
+        self.begin_trial(call, relay).await?;
+        let placement = self.place_in_turn(call, relay, tried).await?;
+        if self.must_wait_for_trial(call) {
+            return Ok(None);
+        }
+        if !call.is_trial() {
+            self.check_suspicion(call, relay)?;
+        }
+        Ok(Some(placement))
+    }
+
     /// Sends a request to one backend and reads the response head.
     async fn attempt(
         &self,
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -174,12 +174,8 @@
     /// Records that a request does not crash backends.
     pub(crate) fn record_sound(&self, call: &Call) {
         self.crashes.record_answer(call.keys());
-        self.end_trial(call);
-    }
-
-    /// Ends the trial of a request, if it is one: others with the same key may be sent.
-    pub(crate) fn end_trial(&self, call: &Call) {
-        call.trial.take();
+        call.end_trial();
+        // Requests that wait for another trial of the same key may be sent now.
         self.trials.wake_waiting();
     }
 
@@ -194,7 +190,7 @@
         relay: &RetryState,
     ) -> Result<(), Rejection> {
         // An earlier attempt may have been a trial.
-        call.trial.take();
+        call.end_trial();
         let mut trial = Trial::new(Arc::clone(&self.trials));
         let since = tokio::time::Instant::now();
         let until = call.deadline.min(since + self.trial_wait(call, relay));
@@ -207,7 +203,7 @@
             }
             let now = tokio::time::Instant::now();
             if now >= until {
-                return Err(self.untried_rejection(call, relay));
+                return Err(self.untried_rejection(call));
             }
             // An interval without a change has the same effect as a change.
             drop(tokio::time::timeout_at(until.min(now + TRIAL_POLL), changed).await);
@@ -226,20 +222,17 @@
         Ok(())
     }
 
-    /// Returns whether a request that is not the trial which it must be by now may be sent.
+    /// Returns whether a request may not be sent because it is not the trial that it must be by now.
     pub(crate) fn must_wait_for_trial(&self, call: &Call) -> bool {
         let ids = self.crashes.trial_ids(call.keys());
         !ids.is_empty() && !call.trial.borrow().as_ref().is_some_and(|trial| trial.covers(ids))
     }
 
-    fn untried_rejection(&self, call: &Call, relay: &RetryState) -> Rejection {
+    fn untried_rejection(&self, call: &Call) -> Rejection {
         log::info!(request = call.attempt_id.as_str(), fingerprint:% = call.fingerprint,
             prompt_parts = call.prompt_parts_text();
             "another request like this one is on trial");
-        match relay.may_have_run() {
-            true => Rejection::ResponseLost,
-            false => self.not_run_rejection(call, NotRunReason::Suspected),
-        }
+        self.not_run_rejection(call, NotRunReason::Suspected)
     }
 
     /// Rejects a request if requests like it crash backends.
@@ -259,10 +252,7 @@
             retry_after_ms = retry_after.as_millis() as u64;
             "requests like this one crash backends");
         metrics::counter!("currantlink_crash_refusals_total").increment(1);
-        match relay.may_have_run() {
-            true => Err(Rejection::ResponseLost),
-            false => Err(Rejection::NotRun { reason: NotRunReason::CrashesBackends, retry_after }),
-        }
+        Err(Rejection::NotRun { reason: NotRunReason::CrashesBackends, retry_after })
     }
 
     /// Logs that a request is sent although something of it was in flight at crashes.
@@ -308,8 +298,7 @@
 
     fn record_crash(&self, call: &Call, key: FleetKey) {
         let trial = call.trial.take();
-        let is_trial = trial.as_ref().is_some_and(Trial::is_begun);
-        self.record_crash_of(key, call.keys(), is_trial, now_ms());
+        self.record_crash_of(key, call.keys(), trial.is_some(), now_ms());
         trial.into_iter().for_each(Trial::end_with_crash);
     }
 
@@ -333,7 +322,7 @@
             parts: parts.to_vec(),
             fingerprint,
             attempt,
-            is_trial: call.trial.borrow().as_ref().is_some_and(Trial::is_begun),
+            is_trial: call.is_trial(),
         };
         let losses = &mut self.observations.borrow_mut().unexplained_losses;
         if losses.len() == MAX_UNEXPLAINED {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -503,6 +503,9 @@
 
     /// Tells the gateways that grant trials what this one asks for.
     async fn send_trials(&mut self) {
+        if self.shared.trials.is_idle() {
+            return;
+        }
         let own = self.peers.own();
         let (own_name, holder) = (own.name.clone(), own.incarnation);
         let live = self.peers.live_gateways();
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -194,9 +194,7 @@
     /// Returns whether a request that finds all backends paused can be sent and still be on time if it
     /// waits in this gateway.
     fn may_outwait(call: &Call, excluded: Option<Clearance>) -> bool {
-        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
-        let left_ms = call.route().target_ms.saturating_sub(elapsed_ms);
-        matches!(excluded, Some(Clearance::Paused { wait_ms }) if wait_ms < left_ms)
+        matches!(excluded, Some(Clearance::Paused { wait_ms }) if wait_ms < call.target_left_ms())
             && call.service().engine.is_some()
     }
 
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -148,6 +148,21 @@
         }
     }
 
+    /// Returns whether the request is a trial.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.borrow().is_some()
+    }
+
+    /// Ends the trial of the request, if it is one: others with the same key may be sent.
+    pub(crate) fn end_trial(&self) {
+        self.trial.take();
+    }
+
+    /// Returns the time in which the request can still be answered on time.
+    pub(crate) fn target_left_ms(&self) -> u64 {
+        self.route().target_ms.saturating_sub(self.arrived_at.elapsed().as_millis() as u64)
+    }
+
     /// Returns the shared parts of the prompt as text for the log.
     pub(crate) fn prompt_parts_text(&self) -> String {
         let parts = self.metadata.shared_prompt_parts.iter();
--- a/daemon/src/stated_limits.rs
+++ b/daemon/src/stated_limits.rs
@@ -13,9 +13,11 @@
 
 /// Rate limits that backends name, known here or from other gateways, and pauses that they request from
 /// this gateway.
-pub struct StatedLimits {
-    rates: Mutex<RateLimits<FleetKey>>,
-    pauses: Mutex<Pauses<FleetKey>>,
+pub struct StatedLimits(Mutex<State>);
+
+struct State {
+    rates: RateLimits<FleetKey>,
+    pauses: Pauses<FleetKey>,
 }
 
 /// Whether a request may be sent to a backend.
@@ -48,12 +50,13 @@
 impl StatedLimits {
     /// Creates the limits of the gateway `own_name`.
     pub fn new(own_name: &str) -> Self {
-        Self { rates: Mutex::new(RateLimits::new(own_name)), pauses: Mutex::default() }
+        let state = State { rates: RateLimits::new(own_name), pauses: Pauses::default() };
+        Self(Mutex::new(state))
     }
 
     /// Replaces the names of the gateways, or `None` while they are unknown.
     pub fn set_gateways(&self, gateways: Option<Vec<String>>) {
-        self.lock().set_gateways(gateways, now_ms());
+        self.lock().rates.set_gateways(gateways, now_ms());
     }
 
     /// Records the limit that a backend named, if any, in the response to a request sent at
@@ -65,7 +68,7 @@
         limit: Option<RequestRate>,
         sent_at_ms: u64,
     ) {
-        let change = self.lock().record_response(key, backend, limit, sent_at_ms, now_ms());
+        let change = self.lock().rates.record_response(key, backend, limit, sent_at_ms, now_ms());
         match change {
             LimitChange::Unchanged => {}
             LimitChange::Limited(rate) => {
@@ -94,7 +97,7 @@
         };
         let now = now_ms();
         let sighting = Sighting { limit, seen_at_ms: now.saturating_sub(named.age_ms) };
-        let change = self.lock().observe(key, &named.id, sighting, now);
+        let change = self.lock().rates.observe(key, &named.id, sighting, now);
         if change != LimitChange::Unchanged {
             let rate_per_s = named.rate_per_s;
             log::info!(backend = named.id.as_str(), rate_per_s; "rate limit learned from a peer");
@@ -103,23 +106,23 @@
 
     /// Returns what other gateways are told.
     pub fn announced(&self, fleet: &Fleet) -> Vec<NamedRate> {
-        let limits = self.lock();
+        let state = self.lock();
         let named = |(key, limit, age_ms): (FleetKey, Option<RequestRate>, u64)| {
             let member = fleet.get(key)?;
             let rate_per_s = limit.map(RequestRate::per_second);
             let born_ms = member.announcement.started_at_ms;
             Some(NamedRate { id: member.id.clone(), born_ms, rate_per_s, age_ms })
         };
-        limits.announced(now_ms()).filter_map(named).collect()
+        state.rates.announced(now_ms()).filter_map(named).collect()
     }
 
     /// Returns whether a request may be sent to a backend that has `in_flight` requests of this gateway.
     pub fn clearance(&self, key: FleetKey, in_flight: u32) -> Clearance {
-        let now = now_ms();
-        if let Permit::After { wait_ms } = self.lock_pauses().permit(key, in_flight, now) {
+        let (now, state) = (now_ms(), self.lock());
+        if let Permit::After { wait_ms } = state.pauses.permit(key, in_flight, now) {
             return Clearance::Paused { wait_ms };
         }
-        match self.lock().permit(key, now) {
+        match state.rates.permit(key, now) {
             Permit::Now => Clearance::Clear,
             Permit::After { wait_ms } => Clearance::RateLimited { wait_ms },
         }
@@ -127,37 +130,33 @@
 
     /// Returns whether a backend wants no requests of this gateway now.
     pub fn is_paused(&self, key: FleetKey) -> bool {
-        self.lock_pauses().is_paused(key, now_ms())
+        self.lock().pauses.is_paused(key, now_ms())
     }
 
     /// Records that a backend has requested a pause.
     pub fn record_pause(&self, key: FleetKey, pause: Duration) {
-        self.lock_pauses().record_pause(key, pause, now_ms());
+        self.lock().pauses.record_pause(key, pause, now_ms());
     }
 
     /// Records a response of a backend that is no rejection, to a request that was sent at `sent_at_ms`.
     pub fn record_accepted(&self, key: FleetKey, sent_at_ms: u64) {
-        self.lock_pauses().record_response(key, sent_at_ms);
+        self.lock().pauses.record_response(key, sent_at_ms);
     }
 
     /// Counts a request that is sent to a backend.
     pub fn record_request(&self, key: FleetKey) {
-        self.lock().record_request(key, now_ms());
+        self.lock().rates.record_request(key, now_ms());
     }
 
     /// Removes the limits of backends for which `known` returns false.
     pub fn retain(&self, known: impl Fn(FleetKey) -> bool) {
-        self.lock().retain(&known);
-        self.lock_pauses().retain(known);
-    }
-
-    fn lock_pauses(&self) -> MutexGuard<'_, Pauses<FleetKey>> {
-        // As for the rates.
-        self.pauses.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.lock();
+        state.rates.retain(&known);
+        state.pauses.retain(known);
     }
 
-    fn lock(&self) -> MutexGuard<'_, RateLimits<FleetKey>> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         // Each update is complete or not begun, so the limits stay consistent even if the lock is poisoned.
-        self.rates.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -120,8 +120,8 @@
                     if backend_stream.answer.record_event(Instant::now()) {
                         self.gateway.record_sound(&self.call);
                     }
-                    if backend_stream.answer.has_begun() && self.call.trial.borrow().is_some() {
-                        self.gateway.end_trial(&self.call);
+                    if backend_stream.answer.has_begun() {
+                        self.call.end_trial();
                     }
                     return Some(Ok(events));
                 }
--- a/daemon/src/trials.rs
+++ b/daemon/src/trials.rs
@@ -105,6 +105,12 @@
         self.due.notify_one();
     }
 
+    /// Returns whether there is nothing to tell other gateways.
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.ended.is_empty() && state.applicant.is_idle()
+    }
+
     /// Returns the messages that are due, by the name of the gateway that grants the trials. `own` is
     /// the name of this gateway and `holder` identifies its process.
     pub fn messages(
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -149,8 +149,7 @@
         let Some(turn) = self.turns.join(service, waiting, interval_ms) else {
             return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         };
-        let wait = Duration::from_millis(waiting.until_ms - waiting.since_ms);
-        let until = call.deadline.min(Instant::now() + wait);
+        let until = call.deadline.min(Instant::now() + waiting.longest());
         self.pool.changed().notify_one();
         while tokio::time::timeout_at(until, turn.waker.notified()).await.is_ok() {
             match self.place(call, tried) {
@@ -179,16 +178,12 @@
 
     /// Returns how long a request waits for a trial.
     pub(crate) fn trial_wait(&self, call: &Call, relay: &RetryState) -> Duration {
-        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
-        let left_ms = call.route().target_ms.saturating_sub(elapsed_ms);
-        let waiting = Waiting::new(origin(call, relay), call.urgency, now_ms(), left_ms);
-        Duration::from_millis(waiting.until_ms - waiting.since_ms)
+        let left_ms = call.target_left_ms();
+        Waiting::new(origin(call, relay), call.urgency, now_ms(), left_ms).longest()
     }
 
     fn waiting(&self, call: &Call, origin: Origin, has_tried: bool) -> Waiting {
-        let elapsed_ms = call.arrived_at.elapsed().as_millis() as u64;
-        let left_ms =
-            call.route().target_ms.saturating_sub(elapsed_ms + self.start_ms(call) as u64);
+        let left_ms = call.target_left_ms().saturating_sub(self.start_ms(call) as u64);
         Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left_ms) }
     }
 }
