Share what tests of silence and pauses repeat

The requests of two tests, their check, and the check of pauses are written once; the assertions are as before. The stand-in counts arrivals by their list.

--- a/daemon/tests/requested_pauses.rs
+++ b/daemon/tests/requested_pauses.rs
@@ -61,6 +61,11 @@
     arrived.iter().map(during).max().unwrap_or_default()
 }
 
+fn check_pauses(arrived: &[Arrival]) {
+    let most = most_during_pause(arrived);
+    assert!(most <= ALLOWED, "{most} requests of one gateway during a pause");
+}
+
 fn retry_after_s(response: &ClientResponse) -> Option<f64> {
     response.header("retry-after").and_then(|text| text.parse().ok())
 }
@@ -83,8 +88,7 @@
     assert!(responses.iter().all(|response| response.code() == 200), "the other backend serves");
     let arrived = arrived_since(paused, since);
     assert!(arrived.len() >= GATEWAYS, "each gateway asks again after a pause");
-    let most = most_during_pause(&arrived);
-    assert!(most <= ALLOWED, "{most} requests of one gateway during a pause");
+    check_pauses(&arrived);
 }
 
 #[tokio::test]
@@ -93,8 +97,7 @@
     let paused = &deployment.model_backends[0];
     let since = request_pause(paused, PAUSE_S);
     send_for(&deployment, RESUMABLE, Duration::from_secs(2 * PAUSE_S)).await;
-    let most = most_during_pause(&arrived_since(paused, since));
-    assert!(most <= ALLOWED, "{most} requests of one gateway during a pause");
+    check_pauses(&arrived_since(paused, since));
 }
 
 #[tokio::test]
@@ -104,8 +107,7 @@
     let since = request_pause(paused, PAUSE_S);
     let responses = send_for(&deployment, IDEMPOTENT, Duration::from_secs(2 * PAUSE_S)).await;
     assert!(responses.iter().all(|response| response.code() == 503));
-    let most = most_during_pause(&arrived_since(paused, since));
-    assert!(most <= ALLOWED, "{most} requests of one gateway during a pause");
+    check_pauses(&arrived_since(paused, since));
     let told = responses.iter().filter(|response| response.text().contains(PAUSED));
     let told: Vec<f64> = told.filter_map(retry_after_s).collect();
     assert!(told.len() > responses.len() / 2, "rejected without a request to the backend");
--- a/daemon/tests/silent_backends.rs
+++ b/daemon/tests/silent_backends.rs
@@ -8,10 +8,11 @@
 
 use currantlink_standins::backends::{Backend, Fault, Run};
 use currantlink_standins::deployment::{
-    self, ClientRequest, Deployment, RESUMABLE, Shape, wait_until,
+    self, ClientRequest, ClientResponse, Deployment, RESUMABLE, Shape, wait_until,
 };
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use tokio::task::JoinHandle;
 
 const REQUESTS: usize = 12;
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
@@ -47,10 +48,7 @@
     log(deployment).contains("backend is silent")
 }
 
-#[tokio::test]
-async fn stranded_requests() {
-    let (deployment, _directory) = start().await;
-    deployment.model_backends[0].queue_faults(vec![Fault::Hang; REQUESTS]);
+fn send_requests(deployment: &Deployment) -> Vec<JoinHandle<ClientResponse>> {
     let address = deployment.gateways[0].callers;
     let send = |index: usize| {
         let id = format!("r-{index}");
@@ -58,15 +56,26 @@
             deployment::send_request(address, &ClientRequest::new("POST", RESUMABLE, &id)).await
         })
     };
-    let requests: Vec<_> = (0..REQUESTS).map(send).collect();
-    let is_stranded = |run: &Run| run.attempt_id.starts_with("r-");
-    wait_until(|| async { deployment.model_backends[0].runs().iter().any(is_stranded) }).await;
-    stop_agent(&deployment, 0);
-    let others = &deployment.model_backends[1..];
+    (0..REQUESTS).map(send).collect()
+}
+
+async fn check_served(requests: Vec<JoinHandle<ClientResponse>>) {
     for request in requests {
         let response = request.await.unwrap();
         assert_eq!((response.code(), response.is_complete), (200, true), "{}", response.text());
     }
+}
+
+#[tokio::test]
+async fn stranded_requests() {
+    let (deployment, _directory) = start().await;
+    deployment.model_backends[0].queue_faults(vec![Fault::Hang; REQUESTS]);
+    let requests = send_requests(&deployment);
+    let is_stranded = |run: &Run| run.attempt_id.starts_with("r-");
+    wait_until(|| async { deployment.model_backends[0].runs().iter().any(is_stranded) }).await;
+    stop_agent(&deployment, 0);
+    let others = &deployment.model_backends[1..];
+    check_served(requests).await;
     let stranded = deployment.model_backends[0].runs();
     let stranded = stranded.iter().filter(|run| is_stranded(run)).map(|run| &run.attempt_id);
     for id in stranded {
@@ -80,17 +89,9 @@
     let (deployment, _directory) = start().await;
     let group = deployment.group.as_ref().unwrap();
     group.set_stalled(true);
-    let address = deployment.gateways[0].callers;
-    let send = |index: usize| {
-        let id = format!("r-{index}");
-        tokio::spawn(async move {
-            deployment::send_request(address, &ClientRequest::new("POST", RESUMABLE, &id)).await
-        })
-    };
-    let requests: Vec<_> = (0..REQUESTS).map(send).collect();
+    let requests = send_requests(&deployment);
     let is_stalled = || async {
-        let request = ClientRequest::new("POST", RESUMABLE, "probe");
-        let probe = deployment::send_request(address, &request);
+        let probe = deployment.send_request("POST", RESUMABLE, "probe");
         // A request that was placed before the stall was reported has no response yet.
         drop(tokio::time::timeout(PROBE_INTERVAL, probe).await);
         log(&deployment).contains("all backend groups are forming or stalled")
@@ -101,10 +102,7 @@
         || async { log(&deployment).contains("attempt abandoned at a silent backend") };
     wait_until(is_abandoned).await;
     group.set_stalled(false);
-    for request in requests {
-        let response = request.await.unwrap();
-        assert_eq!((response.code(), response.is_complete), (200, true), "{}", response.text());
-    }
+    check_served(requests).await;
 }
 
 #[tokio::test]
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -127,7 +127,6 @@
     crash_triggers: Vec<CrashTrigger>,
     faults: VecDeque<Fault>,
     runs: Vec<Run>,
-    arrivals: u64,
     client_disconnects: u64,
     active: u32,
     named_rate: Option<String>,
@@ -302,7 +301,7 @@
 
     /// Returns the number of requests received, including those that were not run.
     pub fn arrivals(&self) -> u64 {
-        self.state().arrivals
+        self.state().arrived.len() as u64
     }
 
     /// Returns the requests that were received, in order.
@@ -373,7 +372,6 @@
         let expected = request.header(names::EXPECT_BACKEND.as_str());
         let fault = {
             let mut state = self.state();
-            state.arrivals += 1;
             state.arrived.push(Arrival { attempt_id: id.clone(), at: Instant::now() });
             state.faults.pop_front().unwrap_or(Fault::None)
         };
