Log for how long callers have been sent nothing

The hypotheses need the time for which a caller had no event when its request was placed, taken away from a silent backend or left: callers leave after a gap in their events, and the age of a request does not tell it. Agents log when their group stalls and goes on. No decision changes.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -329,6 +329,11 @@
             self.last_pass = (step, now);
         }
         let is_stalled = state.rank.is_some() && now > self.last_pass.1 + STALL_TIMEOUT_MS;
+        if self.load_sent.as_ref().is_some_and(|(_, sent)| sent.is_stalled != is_stalled) {
+            let since_pass_ms = now.saturating_sub(self.last_pass.1);
+            log::info!(is_stalled, step, since_pass_ms, active = state.active;
+                "group has stalled or goes on");
+        }
         let load = Load {
             backend_address: self.settings.backend_address.to_string(),
             active: state.active,
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -340,7 +340,8 @@
                 let after_ms = call.arrived_at.elapsed().as_millis() as u64;
                 let snapshot = self.snapshot.load();
                 let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
-                log::info!(request = call.attempt_id.as_str(), backend, after_ms;
+                let unheard_ms = call.progress.unheard().as_millis() as u64;
+                log::info!(request = call.attempt_id.as_str(), backend, after_ms, unheard_ms;
                     "attempt abandoned at a silent backend");
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
                 None
--- a/daemon/src/departure.rs
+++ b/daemon/src/departure.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use currantlink_core::fleet::FleetKey;
 use derive_more::Display;
@@ -10,8 +11,15 @@
 use crate::request_handler::Gateway;
 
 /// How far a request has come. Clones share their state.
-#[derive(Clone, Default)]
-pub struct Progress(Rc<Cell<Option<Dispatch>>>);
+#[derive(Clone)]
+pub struct Progress(Rc<Cell<Steps>>);
+
+#[derive(Clone, Copy)]
+struct Steps {
+    dispatch: Option<Dispatch>,
+    /// Time of the last event that the caller was sent, or of the request's arrival.
+    heard_at: Instant,
+}
 
 /// The latest dispatch of a request.
 #[derive(Clone, Copy, Debug)]
@@ -37,19 +45,33 @@
 }
 
 impl Progress {
+    /// Creates the progress of a request that has arrived and was not sent yet.
+    pub fn new(arrived_at: Instant) -> Self {
+        Self(Rc::new(Cell::new(Steps { dispatch: None, heard_at: arrived_at })))
+    }
+
     /// Records that the request is sent to a backend.
     pub fn record_dispatch(&self, key: FleetKey) {
-        let count = self.0.get().map_or(0, |dispatch| dispatch.count) + 1;
-        self.0.set(Some(Dispatch { key, sent_at: Instant::now(), count, has_events: false }));
+        let steps = self.0.get();
+        let count = steps.dispatch.map_or(0, |dispatch| dispatch.count) + 1;
+        let dispatch = Dispatch { key, sent_at: Instant::now(), count, has_events: false };
+        self.0.set(Steps { dispatch: Some(dispatch), ..steps });
     }
 
     /// Records an event of the response.
     pub fn record_event(&self) {
-        self.0.set(self.0.get().map(|dispatch| Dispatch { has_events: true, ..dispatch }));
+        let dispatch = self.0.get().dispatch;
+        let dispatch = dispatch.map(|dispatch| Dispatch { has_events: true, ..dispatch });
+        self.0.set(Steps { dispatch, heard_at: Instant::now() });
+    }
+
+    /// Returns the time for which the caller has been sent nothing.
+    pub fn unheard(&self) -> Duration {
+        self.0.get().heard_at.elapsed()
     }
 
     fn wait(&self) -> Wait {
-        match self.0.get() {
+        match self.0.get().dispatch {
             None => Wait::Gateway,
             Some(dispatch) if dispatch.has_events => Wait::Event,
             Some(_) => Wait::Backend,
@@ -89,14 +111,15 @@
             return;
         }
         let after_ms = self.arrived_at.elapsed().as_millis() as u64;
-        let dispatch = self.progress.0.get();
+        let dispatch = self.progress.0.get().dispatch;
         let snapshot = self.gateway.snapshot.load();
         let backend = dispatch.and_then(|d| snapshot.fleet.get(d.key)).map(|m| m.id.as_str());
         let since_sent_ms = dispatch.map(|d| d.sent_at.elapsed().as_millis() as u64);
         let is_silent = dispatch.is_some_and(|d| self.gateway.silent.contains(d.key));
         let waits_for = self.progress.wait();
-        log::info!(request = self.attempt_id.as_str(), after_ms, waits_for:% = waits_for, backend,
-            since_sent_ms, sends = dispatch.map_or(0, |d| d.count), is_silent; "caller left");
+        let unheard_ms = self.progress.unheard().as_millis() as u64;
+        log::info!(request = self.attempt_id.as_str(), after_ms, unheard_ms,
+            waits_for:% = waits_for, backend, since_sent_ms, sends = dispatch.map_or(0, |d| d.count), is_silent; "caller left");
         metrics::counter!("currantlink_callers_left_total",
             "waits_for" => waits_for.to_string(), "is_silent" => is_silent.to_string())
         .increment(1);
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -128,6 +128,8 @@
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
                     running_limit, tried = tried.len(), returned = call.is_client_retry,
                     waited_ms = call.arrived_at.elapsed().as_millis() as u64,
+                    unheard_ms = call.progress.unheard().as_millis() as u64,
+                    start_ms = self.start_ms(call) as u64,
                     config_version = call.table.version();
                     "request placed");
                 Ok(Placement { key, running: mean_running(&candidates) })
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -311,7 +311,7 @@
         let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
         let in_flight =
             self.in_flight.begin(InFlightRequest { attempt_id: attempt_id.clone(), arrived_at });
-        let progress = Progress::default();
+        let progress = Progress::new(arrived_at);
         let departure =
             Departure::watch(Rc::clone(&self), attempt_id.clone(), arrived_at, progress.clone());
         let handled = Rc::clone(&self).handle(request, metadata, arrived_at, progress).await;
