Connect to both backends before refusals are repeated

refused_but_run failed once in a run of all tests: "r-0 ran 2 times". The fault of the stand-in repeats the refusal of an earlier request on a kept connection. If the requests before all went to one backend, the other one has no connection, and the refusal stands on a new one, where there was no earlier request and an empty refusal is the answer to one's own.

The checks are unchanged.

--- a/daemon/tests/stale_refusals.rs
+++ b/daemon/tests/stale_refusals.rs
@@ -5,12 +5,20 @@
 mod harness;
 
 use currantlink_standins::backends::{Backend, Fault};
-use currantlink_standins::deployment::{Deployment, IDEMPOTENT, ONCE, Shape};
+use currantlink_standins::deployment::{Deployment, IDEMPOTENT, ONCE, Shape, wait_until};
 
 const REQUESTS: usize = 10;
 
+/// Starts a deployment whose gateway keeps a connection to each backend.
 async fn start() -> (Deployment, tempfile::TempDir) {
-    harness::start_serving(Shape { plain_backends: 2, ..Shape::default() }).await
+    let shape = Shape { plain_backends: 2, ..Shape::default() };
+    let (deployment, directory) = harness::start_serving(shape).await;
+    let are_connected = || async {
+        deployment.send_request("POST", IDEMPOTENT, "connects").await;
+        deployment.plain_backends.iter().all(|backend| !backend.runs().is_empty())
+    };
+    wait_until(are_connected).await;
+    (deployment, directory)
 }
 
 /// Sends a request that is answered, so that its connection is kept, then one whose backend writes the
