End a request for which no event can come while its caller waits

What callers saw: a stream without events for 2 s, until they left. Their request went on at a backend that nothing could reach (GONE).

Cause: a caller waits a known time for an event (2 s, four targets or eight pauses), and nothing compared what was left of it with when the next event could come. A request that had waited 0.7 to 1.9 s for its first event in a slow group stayed at its backend when that stopped; one that was taken away waited up to 1.5 s for a turn, counted from the move, and was sent into the same group, which stood still, with 0.1 to 0.7 s left.

Ruled out: the retry budget (no line says it was exhausted), late notice of a caller that left (backends that answer drop the request within 5 ms).

Change: core/patience compares both, for new, moved, returned and resumed requests. A request is sent on only if its first event, by the least time that was measured lately, comes while its caller waits; otherwise it is answered at once: 503 if it has not run, else 504 with Retry-After, or the stream is cut off. One that a backend has is ended in the same way when its caller is about to leave. MOVED_WAIT_MS is gone. The time that callers wait is decoded with the route (platform/config).

What it costs if the estimate is wrong: the least time is the mean less the deviation of what was measured within 2 s, so a group that comes back early still serves what waits (silent_backends, stalled_group).

Tests: in gateway_stop and left_in_queue callers waited for longer than the routes of the stand-in say; their routes now name the pauses with which callers wait that long. Their checks are unchanged.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod map_shape;
 pub mod membership;
 pub mod pace;
+pub mod patience;
 pub mod pauses;
 pub mod plan;
 pub mod prefix;
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -25,6 +25,9 @@
     /// The backend fell silent before it responded; the request may have run.
     #[display("silent")]
     Silent,
+    /// No event can come while the caller waits for one; the request may have run.
+    #[display("no-event")]
+    NoEvent,
     /// The backend's process ended before it had responded; the request may have run.
     #[display("crashed")]
     Crashed,
@@ -114,7 +117,11 @@
     ) -> NextAction {
         self.may_have_run |= matches!(
             outcome,
-            Outcome::Unknown | Outcome::Silent | Outcome::Crashed | Outcome::Failed
+            Outcome::Unknown
+                | Outcome::Silent
+                | Outcome::NoEvent
+                | Outcome::Crashed
+                | Outcome::Failed
         );
         self.is_delayed |= outcome == Outcome::Silent;
         self.crashes += u32::from(outcome == Outcome::Crashed);
@@ -124,7 +131,7 @@
             self.remaining_attempts += 1;
         }
         let is_safe = !self.may_have_run || self.repeat.may_run_again();
-        let is_safe = is_safe && self.crashes < MAX_CRASHES;
+        let is_safe = is_safe && self.crashes < MAX_CRASHES && outcome != Outcome::NoEvent;
         // The budget limits requests that reach a backend again; this attempt reached none.
         let is_budget_exempt = outcome == Outcome::NotConnected;
         let retry = is_safe && self.remaining_attempts > 0 && (is_budget_exempt || has_budget());
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -69,6 +69,8 @@
     pub timeout_ms: u64,
     /// Target latency of a response.
     pub target_ms: u64,
+    /// Longest time that callers wait for an event, if the response is a stream.
+    pub event_wait_ms: Option<u64>,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
     /// Maximum number of backends that a request is dispatched to.
--- a/core/src/stream_pace.rs
+++ b/core/src/stream_pace.rs
@@ -14,6 +14,8 @@
 const START_WEIGHT: f64 = 0.1;
 /// Time to the first event that is assumed until one was measured.
 const INITIAL_START_MS: f64 = 120.0;
+/// Age from which the time to a first event says nothing about the present.
+const MAX_START_AGE_MS: u64 = 2_000;
 
 /// Recent pauses between events of the streams of one service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,6 +31,7 @@
 struct StartTime {
     mean_ms: f64,
     deviation_ms: f64,
+    measured_at_ms: u64,
 }
 
 impl StreamPace {
@@ -52,9 +55,11 @@
     }
 
     /// Records the time from the dispatch of a request to its first event.
-    pub fn record_start(&mut self, start_ms: f64) {
-        let start = StartTime { mean_ms: start_ms, deviation_ms: start_ms / 2.0 };
+    pub fn record_start(&mut self, now_ms: u64, start_ms: f64) {
+        let deviation_ms = start_ms / 2.0;
+        let start = StartTime { mean_ms: start_ms, deviation_ms, measured_at_ms: now_ms };
         let start = self.start.get_or_insert(start);
+        start.measured_at_ms = now_ms;
         let difference_ms = start_ms - start.mean_ms;
         start.mean_ms += START_WEIGHT * difference_ms;
         start.deviation_ms += START_WEIGHT * (difference_ms.abs() - start.deviation_ms);
@@ -65,6 +70,14 @@
         self.start.map_or(INITIAL_START_MS, |start| start.mean_ms + start.deviation_ms)
     }
 
+    /// Returns the time that a request needs at least, in most cases, for its first event.
+    pub fn least_start_ms(&self, now_ms: u64) -> f64 {
+        let is_recent =
+            |start: &StartTime| now_ms.saturating_sub(start.measured_at_ms) < MAX_START_AGE_MS;
+        let start = self.start.filter(is_recent);
+        start.map_or(INITIAL_START_MS, |start| (start.mean_ms - start.deviation_ms).max(0.0))
+    }
+
     /// Returns the expected duration of a stream that starts now.
     ///
     /// While streams are in progress, the time since the last event is part of a pause that has not
--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -11,9 +11,6 @@
 /// Longest wait of a request that returns after a rejection. It is late, but a second rejection loses
 /// it.
 const RETURNED_WAIT_MS: u64 = 600;
-/// Longest wait of a request that a backend has failed. Callers leave two seconds after the last
-/// event, of which the loss of the backend has used up a part.
-const MOVED_WAIT_MS: u64 = 1_500;
 /// One in this many requests that are sent is one that has returned, if any waits. The others are new
 /// ones while there are more of them than can be sent, because those can still be on time.
 const RETURNED_PERIOD: u32 = 16;
@@ -44,6 +41,15 @@
     }
 }
 
+/// How much later a request can be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendLeft {
+    /// So that its response is on time.
+    pub on_time_ms: u64,
+    /// So that its caller still waits for the response.
+    pub awaited_ms: u64,
+}
+
 /// A request that waits for a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -61,15 +67,13 @@
 
 impl Waiting {
     /// Creates the entry of a request that begins to wait.
-    ///
-    /// `left_ms` is how much later it can be sent and still be on time.
-    pub fn new(origin: Origin, urgency: u8, now_ms: u64, left_ms: u64) -> Self {
+    pub fn new(origin: Origin, urgency: u8, now_ms: u64, left: SendLeft) -> Self {
         let wait_ms = match origin {
-            Origin::Moved => MOVED_WAIT_MS,
-            Origin::New => left_ms,
+            Origin::Moved => left.awaited_ms,
+            Origin::New => left.on_time_ms,
             Origin::Returned => RETURNED_WAIT_MS,
         };
-        let until_ms = now_ms + wait_ms;
+        let until_ms = now_ms + wait_ms.min(left.awaited_ms);
         Self { origin, urgency, has_tried: false, since_ms: now_ms, until_ms }
     }
 
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -14,7 +14,7 @@
 use currantlink_core::routes::EngineProfile;
 use currantlink_core::silence::SILENT_AFTER_RANGE_MS;
 use currantlink_core::stream_pace::StreamPace;
-use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
+use currantlink_core::turns::{Origin, SendLeft, TurnKey, WaitQueue, Waiting};
 
 const SLOTS: u32 = 12;
 const EVENTS: u32 = 26;
@@ -178,8 +178,11 @@
         }
         let share = self.engines.len() as u32 * SLOTS / self.gateways.len() as u32;
         let own = &mut self.gateways[gateway];
-        let waiting =
-            Waiting::new(origin, 5, now_ms, TARGET_MS.saturating_sub(own.pace.start_ms() as u64));
+        let left = SendLeft {
+            on_time_ms: TARGET_MS.saturating_sub(own.pace.start_ms() as u64),
+            awaited_ms: left_ms,
+        };
+        let waiting = Waiting::new(origin, 5, now_ms, left);
         let in_flight = own.own.iter().sum::<u32>().max(share).max(1);
         let interval_ms = own.pace.duration_ms(now_ms, &profile()) / f64::from(in_flight);
         match own.turns.join(now_ms, waiting, interval_ms) {
@@ -244,7 +247,7 @@
                 let pause_ms = (stream.events > 1).then_some(PASS_MS as f64);
                 let pace = &mut self.gateways[stream.gateway].pace;
                 if stream.events == 1 {
-                    pace.record_start((self.now_ms - stream.queued_ms) as f64);
+                    pace.record_start(self.now_ms, (self.now_ms - stream.queued_ms) as f64);
                     pace.begin_stream();
                     let after_ms = self.now_ms - stream.request.first_at_ms;
                     let is_counted = u32::from(stream.request.first_at_ms >= CALM_MS);
--- a/core/tests/route_table.rs
+++ b/core/tests/route_table.rs
@@ -12,6 +12,7 @@
         repeat: Repeat::Idempotent,
         timeout_ms: 1_000,
         target_ms: 100,
+        event_wait_ms: None,
         priority: 2,
         attempts: 2,
         public,
--- a/core/tests/turns.rs
+++ b/core/tests/turns.rs
@@ -1,12 +1,14 @@
 //! Order and admission of the requests that wait in a gateway.
 
-use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
+use currantlink_core::turns::{Origin, SendLeft, TurnKey, WaitQueue, Waiting};
 
 const LEFT_MS: u64 = 280;
+const AWAITED_MS: u64 = 1_500;
 const INTERVAL_MS: f64 = 10.0;
 
 fn waiting(origin: Origin, now_ms: u64) -> Waiting {
-    Waiting::new(origin, 5, now_ms, LEFT_MS)
+    let left = SendLeft { on_time_ms: LEFT_MS, awaited_ms: AWAITED_MS };
+    Waiting::new(origin, 5, now_ms, left)
 }
 
 fn join(queue: &mut WaitQueue, origin: Origin, now_ms: u64) -> Option<TurnKey> {
@@ -55,7 +57,8 @@
     let joined = (0..100).filter(|_| join(&mut queue, Origin::New, 0).is_some()).count();
     assert_eq!(joined, 28, "as many as are sent within the time that is left");
     assert!(join(&mut queue, Origin::Moved, 0).is_some(), "new requests do not delay it");
-    let late = Waiting::new(Origin::New, 5, 0, 0);
+    let left = SendLeft { on_time_ms: 0, awaited_ms: AWAITED_MS };
+    let late = Waiting::new(Origin::New, 5, 0, left);
     assert_eq!(queue.join(0, late, INTERVAL_MS), None, "it cannot be on time");
 }
 
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -61,6 +61,16 @@
     Failure(Response<ResponseBody>),
 }
 
+/// Result of waiting for a backend.
+pub(crate) enum Waited<T> {
+    /// The backend has responded or failed.
+    Read(T),
+    /// The backend has fallen silent, and the request may run again elsewhere.
+    Silent,
+    /// No event can come while the caller waits for one.
+    NoEvent,
+}
+
 enum AttemptEnd {
     Response(Box<BackendResponse>),
     ServerError(Box<BackendResponse>),
@@ -119,7 +129,7 @@
             let placement = match self.place_cleared(call, relay, tried).await {
                 Ok(Some(placement)) => placement,
                 Ok(None) => continue,
-                Err(_) if relay.may_have_run() => return Err(Rejection::ResponseLost),
+                Err(_) if relay.may_have_run() => return Err(self.unknown_outcome_rejection(call)),
                 Err(rejection) => return Err(rejection),
             };
             tried.push(placement.key);
@@ -222,13 +232,14 @@
         let sent_at_ms = now_ms();
         let reading = Self::read_own_response(call, &mut upstream, is_reused, &head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
-        let read = match self.unless_silent(call, key, reading).await {
-            None => {
+        let read = match self.while_awaited(call, key, reading).await {
+            Waited::Silent => {
                 self.record_unexplained(call, key);
                 return AttemptEnd::NoResponse(Outcome::Silent);
             }
-            Some(Ok(read)) => read,
-            Some(Err(_)) => {
+            Waited::NoEvent => return AttemptEnd::NoResponse(Outcome::NoEvent),
+            Waited::Read(Ok(read)) => read,
+            Waited::Read(Err(_)) => {
                 let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
                 self.record_failure(call, key, &error.into());
                 return AttemptEnd::NoResponse(Outcome::Unknown);
@@ -325,17 +336,17 @@
         }
     }
 
-    /// Waits for `reading`, or returns `None` if its backend falls silent and the request may run
-    /// again elsewhere.
-    pub(crate) async fn unless_silent<T>(
+    /// Waits for `reading` while its backend is heard and the caller of a stream waits.
+    pub(crate) async fn while_awaited<T>(
         &self,
         call: &Call,
         key: FleetKey,
         reading: impl Future<Output = T>,
-    ) -> Option<T> {
+    ) -> Waited<T> {
+        let left = Duration::from_millis(call.patience().left_ms());
         tokio::select! {
             biased;
-            read = reading => Some(read),
+            read = reading => Waited::Read(read),
             () = self.silent.until_silent(key), if call.route().repeat.may_run_again() => {
                 let after_ms = call.arrived_at.elapsed().as_millis() as u64;
                 let snapshot = self.snapshot.load();
@@ -344,7 +355,11 @@
                 log::info!(request = call.attempt_id.as_str(), backend, after_ms, unheard_ms;
                     "attempt abandoned at a silent backend");
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
-                None
+                Waited::Silent
+            }
+            () = tokio::time::sleep(left), if call.route().event_wait_ms.is_some() => {
+                metrics::counter!("currantlink_events_missed_total").increment(1);
+                Waited::NoEvent
             }
         }
     }
@@ -464,7 +479,13 @@
     }
 
     pub(crate) fn unknown_outcome_rejection(&self, call: &Call) -> Rejection {
-        if call.remaining().is_zero() { Rejection::Timeout } else { Rejection::ResponseLost }
+        match call.remaining() {
+            remaining if remaining.is_zero() => Rejection::Timeout,
+            _ if self.is_out_of_patience(call) => {
+                Rejection::NoEvent { retry_after: self.retry_after(call, false, 0) }
+            }
+            _ => Rejection::ResponseLost,
+        }
     }
 }
 
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -334,7 +334,7 @@
         metrics::histogram!("currantlink_first_event_seconds").record(start.as_secs_f64());
         let service = call.service().name.clone();
         self.with_pace(&service, |pace| {
-            pace.record_start(start.as_secs_f64() * MS_PER_S);
+            pace.record_start(now_ms(), start.as_secs_f64() * MS_PER_S);
             pace.begin_stream();
         });
         StreamInProgress { gateway: Rc::clone(self), service }
@@ -361,10 +361,27 @@
             NotRunReason::Full => self.recognized_after_ms(call),
             _ => 0,
         };
+        Rejection::NotRun { reason, retry_after: self.retry_after(call, is_forming, at_least_ms) }
+    }
+
+    /// Returns the delay before a rejected request should be retried, `at_least_ms` if possible.
+    pub(crate) fn retry_after(&self, call: &Call, is_forming: bool, at_least_ms: u64) -> Duration {
         let left_ms = call.remaining().as_millis() as u64;
         let after_ms =
             least_loaded::retry_after_ms(is_forming, at_least_ms, left_ms, rand::random());
-        Rejection::NotRun { reason, retry_after: Duration::from_millis(after_ms) }
+        Duration::from_millis(after_ms)
+    }
+
+    /// Returns how much later a request can be sent and have its first event while its caller waits for
+    /// one, or `None` if it cannot.
+    pub(crate) fn send_left_ms(&self, call: &Call) -> Option<u64> {
+        let start_ms = self.with_pace(&call.service().name, |pace| pace.least_start_ms(now_ms()));
+        call.patience().send_left_ms(start_ms)
+    }
+
+    /// Returns whether no event can come while the caller of a stream waits for one.
+    pub(crate) fn is_out_of_patience(&self, call: &Call) -> bool {
+        call.route().event_wait_ms.is_some() && self.send_left_ms(call).is_none()
     }
 }
 
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -46,6 +46,13 @@
     /// The request may have run, but its deadline has passed.
     #[display("timeout")]
     Timeout,
+    /// The request may have run, but no event can come while its caller waits for one.
+    #[display("no-event")]
+    #[from(ignore)]
+    NoEvent {
+        /// Delay before the caller should retry.
+        retry_after: Duration,
+    },
 }
 
 /// Reason why no backend ran a request.
@@ -78,6 +85,9 @@
     /// The deadline passed before the request was dispatched.
     #[display("deadline")]
     Deadline,
+    /// Its first event would come after the caller has left.
+    #[display("late")]
+    Late,
     /// The process is shutting down.
     #[display("stopping")]
     Stopping,
@@ -100,14 +110,16 @@
             Rejection::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Rejection::BodyIncomplete | Rejection::NoAttemptId => StatusCode::BAD_REQUEST,
             Rejection::ResponseLost => StatusCode::BAD_GATEWAY,
-            Rejection::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Rejection::Timeout | Rejection::NoEvent { .. } => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Rejection::NoConfiguration => Some(CONFIGURATION_RETRY_AFTER),
-            Rejection::NotRun { retry_after, .. } => Some(*retry_after),
+            Rejection::NotRun { retry_after, .. } | Rejection::NoEvent { retry_after } => {
+                Some(*retry_after)
+            }
             _ => None,
         }
     }
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -14,6 +14,7 @@
 use currantlink_core::fleet::{FleetKey, Member};
 use currantlink_core::health::Health;
 use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
+use currantlink_core::patience::Patience;
 use currantlink_core::retry::RetryState;
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
@@ -158,6 +159,15 @@
         self.trial.take();
     }
 
+    /// Returns for how long the caller still waits for the next event.
+    pub(crate) fn patience(&self) -> Patience {
+        Patience {
+            event_wait_ms: self.route().event_wait_ms,
+            unheard_ms: self.progress.unheard().as_millis() as u64,
+            deadline_left_ms: self.remaining().as_millis() as u64,
+        }
+    }
+
     /// Returns the time in which the request can still be answered on time.
     pub(crate) fn target_left_ms(&self) -> u64 {
         self.route().target_ms.saturating_sub(self.arrived_at.elapsed().as_millis() as u64)
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -15,7 +15,7 @@
 use futures::Stream;
 use http::{HeaderValue, StatusCode, header};
 
-use crate::attempts::{BackendResponse, Dispatched};
+use crate::attempts::{BackendResponse, Dispatched, Waited};
 use crate::clock::now_ms;
 use crate::crashes::AnswerProgress;
 use crate::placement::StreamInProgress;
@@ -66,6 +66,8 @@
     Timeout,
     /// The backend has fallen silent.
     Silent,
+    /// No event has come for as long as the caller waits for one.
+    NoEvent,
     /// The stream was resumed, but not with the events after the last one.
     Discontinuous,
 }
@@ -102,8 +104,12 @@
             let backend_stream = self.backend_stream.as_mut()?;
             let key = backend_stream.response.key;
             let reading = backend_stream.read(&self.call, &mut self.splitter);
-            let read = self.gateway.unless_silent(&self.call, key, reading).await;
-            match read.unwrap_or(StreamRead::Silent) {
+            let read = match self.gateway.while_awaited(&self.call, key, reading).await {
+                Waited::Read(read) => read,
+                Waited::Silent => StreamRead::Silent,
+                Waited::NoEvent => StreamRead::NoEvent,
+            };
+            match read {
                 StreamRead::Events(events) => {
                     self.gateway.pool.record_heard(key, now_ms());
                     if !backend_stream.answer.has_events() {
@@ -130,6 +136,7 @@
                     return None;
                 }
                 StreamRead::Timeout => return self.truncate("timeout"),
+                StreamRead::NoEvent => return self.truncate("no-event"),
                 StreamRead::Discontinuous => return self.truncate("discontinuous"),
                 StreamRead::Silent => {
                     if !backend_stream.answer.has_begun() {
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -6,14 +6,14 @@
 
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::retry::RetryState;
-use currantlink_core::turns::{Origin, TurnKey, WaitQueue, Waiting};
+use currantlink_core::turns::{Origin, SendLeft, TurnKey, WaitQueue, Waiting};
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::clock::now_ms;
 use crate::placement::{Placement, PlacementError, Unavailable};
-use crate::rejection::Rejection;
+use crate::rejection::{NotRunReason, Rejection};
 use crate::request_handler::{Call, Gateway};
 
 const MS_PER_S: f64 = 1_000.0;
@@ -130,6 +130,9 @@
         self.record_arrival(service);
         let may_wait = call.service().engine.is_some();
         let origin = origin(call, relay);
+        if self.is_out_of_patience(call) {
+            return Err(self.not_run_rejection(call, NotRunReason::Late));
+        }
         let mut unavailable = None;
         if !may_wait || self.turns.may_overtake(service, origin) {
             match self.place(call, tried) {
@@ -178,13 +181,17 @@
 
     /// Returns how long a request waits for a trial.
     pub(crate) fn trial_wait(&self, call: &Call, relay: &RetryState) -> Duration {
-        let left_ms = call.target_left_ms();
-        Waiting::new(origin(call, relay), call.urgency, now_ms(), left_ms).longest()
+        let on_time_ms = call.target_left_ms();
+        let left = SendLeft { on_time_ms, awaited_ms: call.patience().left_ms() };
+        Waiting::new(origin(call, relay), call.urgency, now_ms(), left).longest()
     }
 
     fn waiting(&self, call: &Call, origin: Origin, has_tried: bool) -> Waiting {
-        let left_ms = call.target_left_ms().saturating_sub(self.start_ms(call) as u64);
-        Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left_ms) }
+        let left = SendLeft {
+            on_time_ms: call.target_left_ms().saturating_sub(self.start_ms(call) as u64),
+            awaited_ms: self.send_left_ms(call).unwrap_or(0),
+        };
+        Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left) }
     }
 }
 
--- a/daemon/tests/backend_queues.rs
+++ b/daemon/tests/backend_queues.rs
@@ -20,6 +20,10 @@
 /// More than the time between the reports of an agent whose backend's load changes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 
+const CONFIG_VERSION: u64 = 2;
+/// Target for pauses with which callers wait for the next event until their deadline.
+const GAP_TARGET_MS: u64 = 500;
+
 /// Time between the events of a sound stream, several times over.
 const PAUSE: Duration = Duration::from_millis(600);
 
@@ -34,6 +38,14 @@
 async fn start_busy() -> (Deployment, tempfile::TempDir) {
     let shape = Shape { ranks: RANKS as u32, slots: Some(SLOTS), ..Shape::default() };
     let (deployment, directory) = harness::start_serving(shape).await;
+    let mut config = deployment::config(CONFIG_VERSION, &[deployment::KEY]);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["gap_target_ms"] = GAP_TARGET_MS.into();
+    }
+    deployment.put_config(&config.to_string());
+    let log = deployment.gateways[0].process.log_path();
+    let applied = format!("\"configuration applied\" version={CONFIG_VERSION}");
+    wait_until(|| async { std::fs::read_to_string(&log).unwrap().contains(&applied) }).await;
     let serves =
         || async { deployment.send_request("POST", RESUMABLE, "first").await.code() == 200 };
     wait_until(serves).await;
--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// Target for pauses with which callers wait for the next event for 20 s.
+const GAP_TARGET_MS: u64 = 2_500;
 const CLOSING: &str = "closing caller connections";
 
 /// Starts a deployment whose routes and connections allow more time than the grace period.
@@ -27,6 +29,7 @@
     let mut config = deployment::config(2, &[KEY]);
     for route in config["routes"].as_array_mut().unwrap() {
         route["timeout_ms"] = 20_000.into();
+        route["gap_target_ms"] = GAP_TARGET_MS.into();
     }
     config["limits"]["header_timeout_ms"] = 20_000.into();
     deployment.put_config(&config.to_string());
