Test for cut heads of responses and late calls in a planned stop

No response looks complete; a head without its empty line is never parsed. Not reproduced.

Requests that come late in the grace period of a planned stop: late_calls sends calls with deadlines from 0.1 to 20 s, on routes that may run once and that may be repeated, to a backend that does not respond, each 30 ms until the process is gone. Each one that was sent to the backend has an answer before the exit: while closing, only requests whose deadline passes 0.2 s before the exit are accepted, and what has no response then is answered with 502. Not reproduced. The tests stay.

--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -20,6 +20,8 @@
 
 /// Target for pauses with which callers wait for the next event for 20 s.
 const GAP_TARGET_MS: u64 = 2_500;
+const MAX_LATE_CALLS: usize = 200;
+const LATE_DEADLINES_MS: [u64; 5] = [100, 400, 900, 2_000, 20_000];
 const CLOSING: &str = "closing caller connections";
 
 /// Starts a deployment whose routes and connections allow more time than the grace period.
@@ -167,6 +169,35 @@
     release(&mut deployment, held).await;
 }
 
+/// Guards against requests that are sent to a backend late in the grace period and cut off by the exit.
+#[tokio::test]
+async fn late_calls() {
+    let (mut deployment, _directory) = start(3).await;
+    deployment.plain_backends[0].queue_faults([Fault::Hang; MAX_LATE_CALLS]);
+    queue_stream_fault(&deployment, Fault::Hold);
+    let held = send_stream(&deployment, "held");
+    wait_until(|| async { has_run(&deployment, "held") }).await;
+    stop(&deployment).await;
+    let mut sent = Vec::new();
+    while deployment.gateways[0].process.is_running().unwrap() {
+        let (id, path) = (format!("r-{}", sent.len()), [ONCE, IDEMPOTENT][sent.len() % 2]);
+        let deadline_ms = LATE_DEADLINES_MS[sent.len() % LATE_DEADLINES_MS.len()];
+        let request = ClientRequest { deadline_ms, ..ClientRequest::new("POST", path, &id) };
+        sent.push((id, send(&deployment, request)));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert!(sent.len() < MAX_LATE_CALLS);
+    let mut have_run = 0;
+    for (id, response) in sent {
+        let response = response.await.unwrap();
+        let is_answered = response.is_complete && response.code() >= 500;
+        assert!(!has_run(&deployment, &id) || is_answered, "{id}: {response:?}");
+        have_run += usize::from(has_run(&deployment, &id));
+    }
+    assert!(have_run > 0, "no request was sent to a backend while stopping");
+    assert!(!held.await.unwrap().is_complete);
+}
+
 /// Guards against an exit that closes connections whose request has no response yet.
 #[tokio::test]
 async fn unanswered_request() {
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -67,6 +67,22 @@
     }
 }
 
+#[tokio::test]
+async fn cut_heads() {
+    let responses: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 15\r\nX-A: b\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\n",
+    ];
+    for response in responses {
+        for len in 0..response.len() {
+            let body = read_body(&response[..len], 1_000).await;
+            assert!(body.is_err(), "{len} bytes of {}: {body:?}", response.escape_ascii());
+        }
+    }
+}
+
 #[tokio::test]
 async fn given_up() {
     let (mut upstream, mut backend) = pair().await;
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -52,6 +52,8 @@
     ExtraBytes,
     /// The response lacks the signature header.
     Unsigned,
+    /// The request is run and the connection is closed after this many bytes of the response's head.
+    CutHead(usize),
     /// The response has no length and the connection is reset halfway through the body.
     Reset,
     /// The event stream is closed in the middle of the event that follows this many events.
@@ -435,6 +437,13 @@
                 write_response(stream, "200 OK", &signed_headers[..1], body.as_bytes()).await?;
                 Ok(true)
             }
+            Fault::CutHead(len) => {
+                let framing = self.group.is_some().then_some("Transfer-Encoding: chunked");
+                let head = response_head("200 OK", &signed_headers, framing);
+                // The last byte completes the head.
+                stream.write_all(&head.as_bytes()[..len.min(head.len() - 1)]).await?;
+                Ok(false)
+            }
             Fault::Reset => self.reset(stream, &signed_headers, body.as_bytes()).await,
             Fault::FailResumed(status, body)
                 if request.header(names::LAST_EVENT_ID.as_str()).is_some() =>
