Explain requests that are ended without an event, and test their retry state

currantlink explain named the outcome of such a request only by its code. It says now that no event came for as long as the caller waits, and from which backend.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -50,6 +50,9 @@
         let event = value(Some(interrupted), "last_event");
         return match interrupted.get("reason") {
             Some("timeout") => format!("the route's time was over after event {event}"),
+            Some("no-event") => format!(
+                "broken off after event {event}: no other one came for as long as its caller waits"
+            ),
             Some("silent") => format!(
                 "backend {} fell silent after event {event}, and no other one took the stream over",
                 value(last("request placed"), "backend")
@@ -61,6 +64,11 @@
         return match rejected.get("outcome").unwrap_or_default() {
             "answer-lost" => format!("may have run; lost with backend {}", failed_attempt()),
             "timeout" => "may have run; no answer before its time was over".to_owned(),
+            "no-event" => format!(
+                "may have run; no event came from backend {} for as long as its caller waits",
+                value(last("request placed"), "backend")
+            ),
+            "not-run: late" => "not run; its first event would have come too late".to_owned(),
             "not-run: full" => full_cause(last("backends full")),
             "not-run: rate-limited" => format!(
                 "not run; its backends were at the rate limits that they name, the next one for {} ms",
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -27,6 +27,9 @@
 2026-12-04T10:20:15.700Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-14 reason=silent after_ms=699 last_event=4
 2026-12-04T13:02:08.920Z INFO currantlink_daemon::crashes msg="requests like this one crash backends" request=bad-15 fingerprint=2ee491ea0c2f17a5 prompt_parts=f1,c1,bad0 retry_after_ms=599677
 2026-12-04T13:02:08.920Z INFO currantlink_daemon::request_handler msg="request rejected" request=bad-15 outcome="not-run: crashes-backends" status=503 after_ms=0
+2026-12-05T09:40:01.100Z INFO currantlink_daemon::placement msg="request placed" request=stream-16 route=resumable backend=model-3 load=10 report_age_ms=9 candidates=16 queue_limit=0 running_limit=12 tried=0 config_version=83
+2026-12-05T09:40:03.000Z INFO currantlink_daemon::request_handler msg="request rejected" request=stream-16 outcome=no-event status=504 after_ms=1900
+2026-12-05T09:40:04.000Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-17 reason=no-event after_ms=4100 last_event=8
 "#;
 
 fn explain(request: &str) -> (bool, String, String) {
@@ -111,3 +114,12 @@
     let cause = "cause: not run; requests like it crash backends (fingerprint 2ee491ea0c2f17a5, prompt parts f1,c1,bad0)";
     assert_eq!(out.lines().last(), Some(cause));
 }
+
+#[test]
+fn missing_event() {
+    let (_, out, _) = explain("stream-16");
+    let cause = "may have run; no event came from backend model-3 for as long as its caller waits";
+    assert!(out.ends_with(&format!("cause: {cause}\n")), "{out}");
+    let (_, out, _) = explain("stream-17");
+    assert!(out.contains("broken off after event 8: no other one came"), "{out}");
+}
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -4,12 +4,13 @@
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_core::routes::Repeat;
 
-const OUTCOMES: [Outcome; 7] = [
+const OUTCOMES: [Outcome; 8] = [
     Outcome::NotConnected,
     Outcome::NotRun,
     Outcome::Misdirected,
     Outcome::Unknown,
     Outcome::Silent,
+    Outcome::NoEvent,
     Outcome::Crashed,
     Outcome::Failed,
 ];
@@ -40,7 +41,8 @@
 }
 
 fn may_have_run(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Unknown | Outcome::Silent | Outcome::Crashed | Outcome::Failed)
+    use Outcome::{Crashed, Failed, NoEvent, Silent, Unknown};
+    matches!(outcome, Unknown | Silent | NoEvent | Crashed | Failed)
 }
 
 #[test]
@@ -110,3 +112,13 @@
         });
     }
 }
+
+#[test]
+fn ended_without_event() {
+    for repeat in [Repeat::Idempotent, Repeat::ResumableStream { gap_target_ms: 100 }] {
+        let mut state = RetryState::new(repeat, 3);
+        state.record_dispatch();
+        let has_budget = || unreachable!("the retry budget is for requests that are sent again");
+        assert_eq!(state.attempt_ended(Outcome::NoEvent, has_budget), NextAction::GiveUp);
+    }
+}
