--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -24,6 +24,11 @@
         wait_left_ms.min(self.deadline_left_ms)
     }
 
+    /// Returns whether the caller leaves for want of an event before its deadline.
+    pub fn ends_before_deadline(&self) -> bool {
+        self.left_ms() < self.deadline_left_ms
+    }
+
     /// Returns how much later the request can be sent to a backend that has its first event `start_ms`
     /// after that, or `None` if the event would come too late if it were sent now.
     pub fn send_left_ms(&self, start_ms: f64) -> Option<u64> {
--- a/core/tests/patience.rs
+++ b/core/tests/patience.rs
@@ -24,7 +24,11 @@
     let patience = Patience { event_wait_ms: None, unheard_ms: 5_000, deadline_left_ms: 3_000 };
     assert_eq!(patience.left_ms(), 3_000, "it waits for no events");
     assert_eq!(Patience { deadline_left_ms: 0, ..patience }.left_ms(), 0);
-    assert_eq!(Patience { deadline_left_ms: 40, ..after(0) }.left_ms(), 40);
+    assert!(!patience.ends_before_deadline());
+    let near_deadline = Patience { deadline_left_ms: 40, ..after(0) };
+    assert_eq!(near_deadline.left_ms(), 40);
+    assert!(!near_deadline.ends_before_deadline(), "its deadline passes first");
+    assert!(after(0).ends_before_deadline());
 }
 
 #[test]
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -343,7 +343,8 @@
         key: FleetKey,
         reading: impl Future<Output = T>,
     ) -> Waited<T> {
-        let left = Duration::from_millis(call.patience().left_ms());
+        let patience = call.patience();
+        let left = Duration::from_millis(patience.left_ms());
         tokio::select! {
             biased;
             read = reading => Waited::Read(read),
@@ -357,7 +358,7 @@
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
                 Waited::Silent
             }
-            () = tokio::time::sleep(left), if call.route().event_wait_ms.is_some() => {
+            () = tokio::time::sleep(left), if patience.ends_before_deadline() => {
                 metrics::counter!("currantlink_events_missed_total").increment(1);
                 Waited::NoEvent
             }
--- a/daemon/src/departure.rs
+++ b/daemon/src/departure.rs
@@ -119,7 +119,8 @@
         let waits_for = self.progress.wait();
         let unheard_ms = self.progress.unheard().as_millis() as u64;
         log::info!(request = self.attempt_id.as_str(), after_ms, unheard_ms,
-            waits_for:% = waits_for, backend, since_sent_ms, sends = dispatch.map_or(0, |d| d.count), is_silent; "caller left");
+            waits_for:% = waits_for, backend, since_sent_ms,
+            sends = dispatch.map_or(0, |d| d.count), is_silent; "caller left");
         metrics::counter!("currantlink_callers_left_total",
             "waits_for" => waits_for.to_string(), "is_silent" => is_silent.to_string())
         .increment(1);
