--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -23,6 +23,8 @@
 use crate::platform::count_runs;
 use crate::soak;
 
+/// Target for pauses with which callers wait for the next event for 20 s.
+const GAP_TARGET_MS: u64 = 2_500;
 const GATEWAYS: usize = 3;
 const GRACE_S: u64 = 8;
 const SHAPE: Shape = Shape {
@@ -135,6 +137,7 @@
     let mut config = config(version, &[KEY]);
     for route in config["routes"].as_array_mut().into_iter().flatten() {
         route["timeout_ms"] = 20_000.into();
+        route["gap_target_ms"] = GAP_TARGET_MS.into();
     }
     deployment.put_config(&config.to_string());
 }
