Tell a backend that is ending from one that lives on after a lost trial

Reproduced on that commit: 1 of 30 runs (six side by side), 3 of 48 (eight side by side).

Cause, from the logs of these runs: a trial (a request that may crash its backend, one at a time in the deployment) loses its connection, and the gateway connects again to see whether the backend's process still listens. A process that ends closes its connections before its listener, so that this connection is accepted (42 times in 24 runs it was then reset: ECONNRESET), the loss counts as unexplained and the trial as over. The next trial follows at once instead of 700 ms later, and crashes one more backend before the list explains the first loss 0.5 to 1.3 s later.

Ruled out: grants to two gateways at once, and a pause of trials that is too short: each of the trials of the failed runs followed the end of the one before.

Now, if the request is a suspect, the connection must stay open for 50 ms, and one that is closed or reset is made again every 5 ms in that time. New test slow_exits: six backends whose listeners close 20 ms after their connections; without the change it failed in 5 of 6 runs, with up to 6 late requests.

--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -20,6 +20,10 @@
 
 /// Timeout of the connection that shows whether a backend's process still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time from the end of the connections of a process until its address refuses others.
+const EXIT_TIME: Duration = Duration::from_millis(50);
+/// Interval at which a backend that ends its connections is connected to again.
+const EXIT_POLL: Duration = Duration::from_millis(5);
 /// Time for which a backend that refused a connection is not tried again.
 const REFUSED_PAUSE_MS: u64 = 1_000;
 /// Time within which the list shows that a backend's process has ended.
@@ -115,7 +119,7 @@
             UpstreamError::Io(error) if error.kind() == io::ErrorKind::TimedOut => {
                 BackendState::Unknown
             }
-            _ => self.check_backend(key).await,
+            _ => self.check_backend(call, key).await,
         };
         if state == BackendState::Crashed {
             self.log_crash(call, key);
@@ -165,7 +169,7 @@
         let is_certain = framing != Framing::UntilClose;
         if is_certain
             || self.crashes.is_suspect(call.keys())
-                && self.check_backend(key).await == BackendState::Alive
+                && self.check_backend(call, key).await == BackendState::Alive
         {
             self.record_sound(call);
         }
@@ -266,27 +270,44 @@
         }
     }
 
-    /// Connects to a backend to find out whether its process still listens.
-    async fn check_backend(&self, key: FleetKey) -> BackendState {
-        let snapshot = self.snapshot.load();
-        let Some(member) = snapshot.fleet.get(key) else {
-            return BackendState::Unknown;
+    /// Finds out whether the process of a backend that did not answer a request still listens. If the
+    /// request is a suspect, a process that is about to end is told from one that lives on.
+    async fn check_backend(&self, call: &Call, key: FleetKey) -> BackendState {
+        let until = match self.crashes.is_suspect(call.keys()) {
+            true => tokio::time::Instant::now() + EXIT_TIME,
+            false => tokio::time::Instant::now(),
         };
-        match Upstream::connect(member.announcement.address, CHECK_TIMEOUT).await {
-            Ok(upstream) => {
-                self.pool.put_idle(key, upstream, KeepAlive::Unspecified);
-                BackendState::Alive
-            }
-            Err(error) => {
-                self.record_unconnected(key, &error);
-                match error.kind() {
-                    io::ErrorKind::ConnectionRefused => BackendState::Crashed,
-                    _ => BackendState::Unknown,
+        loop {
+            match self.check_connect(key).await {
+                Ok(upstream) if upstream.stays_open(until).await => {
+                    self.pool.put_idle(key, upstream, KeepAlive::Unspecified);
+                    return BackendState::Alive;
                 }
+                Err(BackendState::Crashed) => return BackendState::Crashed,
+                _ if tokio::time::Instant::now() >= until => return BackendState::Unknown,
+                _ => tokio::time::sleep(EXIT_POLL).await,
             }
         }
     }
 
+    /// Connects to a backend. Returns its state if that fails.
+    async fn check_connect(&self, key: FleetKey) -> Result<Upstream, BackendState> {
+        let snapshot = self.snapshot.load();
+        let member = snapshot.fleet.get(key).ok_or(BackendState::Unknown)?;
+        let connected = Upstream::connect(member.announcement.address, CHECK_TIMEOUT).await;
+        connected.map_err(|error| {
+            self.record_unconnected(key, &error);
+            match error.kind() {
+                io::ErrorKind::ConnectionRefused => BackendState::Crashed,
+                kind => {
+                    log::info!(backend = member.id.as_str(), error:% = error, kind:? = kind;
+                        "backend's state is not known: connection failed");
+                    BackendState::Unknown
+                }
+            }
+        })
+    }
+
     /// Records that a connection to a backend failed. One that refuses connections is not tried again
     /// for some time: its process has ended, but it stays listed until its announcements are missed.
     pub(crate) fn record_unconnected(&self, key: FleetKey, error: &io::Error) {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::sockets;
 
@@ -126,6 +127,13 @@
         self.is_request_sent && self.buffer.is_empty() && is_quiet
     }
 
+    /// Waits until the backend closes an idle connection or sends something, no longer than `until`.
+    /// Returns whether neither has happened.
+    pub async fn stays_open(&self, until: Instant) -> bool {
+        let changed = async { while self.stream.readable().await.is_ok() && self.is_reusable() {} };
+        tokio::time::timeout_at(until, changed).await.is_err()
+    }
+
     /// Sends a request and reads the response head, which may arrive before the request is fully
     /// sent.
     ///
--- a/daemon/tests/parallel_crashes.rs
+++ b/daemon/tests/parallel_crashes.rs
@@ -14,6 +14,8 @@
 
 const GATEWAYS: usize = 3;
 const BACKENDS: usize = 3;
+/// Number of backends in the test whose trials could crash more of them than allowed.
+const MORE_BACKENDS: usize = 6;
 const BODY: &[u8] = b"the body that crashes backends";
 /// Number of crashing requests, and of sound ones, that are sent at a time.
 const PARALLEL: usize = 12;
@@ -23,6 +25,8 @@
 /// Number of crashes after which no more requests than `LATE` may reach a backend.
 const CRASHES: usize = 3;
 const LATE: usize = 3;
+/// Time for which a backend whose connections have ended still accepts others.
+const EXIT_TIME: Duration = Duration::from_millis(20);
 /// Time by which all gateways must know of the crashes.
 const KNOWN_AFTER: Duration = Duration::from_millis(600);
 
@@ -48,11 +52,15 @@
     tokio::join!(join_all(crashing), join_all(sound));
 }
 
-#[tokio::test]
-async fn crowd_of_crashing_requests() {
-    let shape = Shape { gateways: GATEWAYS, plain_backends: BACKENDS, ..Shape::default() };
+/// Checks that the requests are refused soon after the first crashes, for backends whose addresses
+/// refuse connections `exit_time` after a crash.
+async fn check_crowd(backends: usize, exit_time: Duration) {
+    let shape = Shape { gateways: GATEWAYS, plain_backends: backends, ..Shape::default() };
     let (deployment, _directory) = harness::start_serving(shape).await;
-    deployment.plain_backends.iter().for_each(|backend| backend.crash_on(CrashTrigger::Body(BODY)));
+    for backend in &deployment.plain_backends {
+        backend.crash_on(CrashTrigger::Body(BODY));
+        backend.set_exit_time(exit_time);
+    }
     let (mut known_at, mut known) = (None, 0);
     for round in 0..ROUNDS {
         send_round(&deployment, round).await;
@@ -72,3 +80,13 @@
         wait_until(served).await;
     }
 }
+
+#[tokio::test]
+async fn crowd_of_crashing_requests() {
+    check_crowd(BACKENDS, Duration::ZERO).await;
+}
+
+#[tokio::test]
+async fn slow_exits() {
+    check_crowd(MORE_BACKENDS, EXIT_TIME).await;
+}
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -135,6 +135,7 @@
     requested_pause: Option<String>,
     is_leaving: bool,
     down_time: Option<Duration>,
+    exit_time: Duration,
     arrived: Vec<Arrival>,
     queued_since: Vec<Instant>,
 }
@@ -201,6 +202,8 @@
                 let down_time = backend.state().down_time.unwrap_or(DOWN_TIME);
                 // A successor that takes over the listening socket is there at once.
                 if !down_time.is_zero() {
+                    let exit_time = backend.state().exit_time;
+                    tokio::time::sleep(exit_time).await;
                     drop(listener);
                     tokio::time::sleep(down_time).await;
                     listener = loop {
@@ -250,6 +253,11 @@
         self.state().down_time = Some(down_time);
     }
 
+    /// Sets the time from a crash, which ends the connections, until the address refuses connections.
+    pub fn set_exit_time(&self, exit_time: Duration) {
+        self.state().exit_time = exit_time;
+    }
+
     /// Returns how many times the backend has crashed.
     pub fn crashes(&self) -> u32 {
         *self.crashes.borrow()
