Bound the whole check of a lost trial by the timeout of one connection

The time that is kept for the response to the caller is 100 ms. The connections of one check share the 100 ms now. parallel_crashes passes.

--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -18,7 +18,7 @@
 use crate::trials::Trial;
 use crate::upstream::{Framing, Upstream, UpstreamError};
 
-/// Timeout of the connection that shows whether a backend's process still listens.
+/// Timeout of the connections that show whether a backend's process still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time from the end of the connections of a process until its address refuses others.
 const EXIT_TIME: Duration = Duration::from_millis(50);
@@ -273,12 +273,14 @@
     /// Finds out whether the process of a backend that did not answer a request still listens. If the
     /// request is a suspect, a process that is about to end is told from one that lives on.
     async fn check_backend(&self, call: &Call, key: FleetKey) -> BackendState {
+        let since = tokio::time::Instant::now();
         let until = match self.crashes.is_suspect(call.keys()) {
-            true => tokio::time::Instant::now() + EXIT_TIME,
-            false => tokio::time::Instant::now(),
+            true => since + EXIT_TIME,
+            false => since,
         };
         loop {
-            match self.check_connect(key).await {
+            let limit = CHECK_TIMEOUT.saturating_sub(since.elapsed());
+            match self.check_connect(key, limit).await {
                 Ok(upstream) if upstream.stays_open(until).await => {
                     self.pool.put_idle(key, upstream, KeepAlive::Unspecified);
                     return BackendState::Alive;
@@ -290,11 +292,15 @@
         }
     }
 
-    /// Connects to a backend. Returns its state if that fails.
-    async fn check_connect(&self, key: FleetKey) -> Result<Upstream, BackendState> {
+    /// Connects to a backend within `limit`. Returns its state if that fails.
+    async fn check_connect(
+        &self,
+        key: FleetKey,
+        limit: Duration,
+    ) -> Result<Upstream, BackendState> {
         let snapshot = self.snapshot.load();
         let member = snapshot.fleet.get(key).ok_or(BackendState::Unknown)?;
-        let connected = Upstream::connect(member.announcement.address, CHECK_TIMEOUT).await;
+        let connected = Upstream::connect(member.announcement.address, limit).await;
         connected.map_err(|error| {
             self.record_unconnected(key, &error);
             match error.kind() {
