--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -203,7 +203,10 @@
                 // A successor that takes over the listening socket is there at once.
                 if !down_time.is_zero() {
                     let exit_time = backend.state().exit_time;
-                    tokio::time::sleep(exit_time).await;
+                    // Even a sleep of no length would keep the listener for a tick of the timer.
+                    if !exit_time.is_zero() {
+                        tokio::time::sleep(exit_time).await;
+                    }
                     drop(listener);
                     tokio::time::sleep(down_time).await;
                     listener = loop {
