--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -11,7 +11,7 @@
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
     ClientRequest, ClientResponse, Connection, Deployment, IDEMPOTENT, KEY, ONCE, STREAM, Shape,
-    config,
+    config, set_on_routes,
 };
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -135,10 +135,8 @@
 /// Writes a configuration whose routes allow more time than the grace period.
 fn configure(deployment: &Deployment, version: u64) {
     let mut config = config(version, &[KEY]);
-    for route in config["routes"].as_array_mut().into_iter().flatten() {
-        route["timeout_ms"] = 20_000.into();
-        route["gap_target_ms"] = GAP_TARGET_MS.into();
-    }
+    set_on_routes(&mut config, "timeout_ms", 20_000);
+    set_on_routes(&mut config, "gap_target_ms", GAP_TARGET_MS);
     deployment.put_config(&config.to_string());
 }
 
--- a/daemon/tests/backend_queues.rs
+++ b/daemon/tests/backend_queues.rs
@@ -39,9 +39,7 @@
     let shape = Shape { ranks: RANKS as u32, slots: Some(SLOTS), ..Shape::default() };
     let (deployment, directory) = harness::start_serving(shape).await;
     let mut config = deployment::config(CONFIG_VERSION, &[deployment::KEY]);
-    for route in config["routes"].as_array_mut().unwrap() {
-        route["gap_target_ms"] = GAP_TARGET_MS.into();
-    }
+    deployment::set_on_routes(&mut config, "gap_target_ms", GAP_TARGET_MS);
     deployment.put_config(&config.to_string());
     let log = deployment.gateways[0].process.log_path();
     let applied = format!("\"configuration applied\" version={CONFIG_VERSION}");
--- a/daemon/tests/gateway_stop.rs
+++ b/daemon/tests/gateway_stop.rs
@@ -29,10 +29,8 @@
     let shape = Shape { ranks: 2, grace_s, ..Shape::default() };
     let (deployment, directory) = harness::start(shape).await;
     let mut config = deployment::config(2, &[KEY]);
-    for route in config["routes"].as_array_mut().unwrap() {
-        route["timeout_ms"] = 20_000.into();
-        route["gap_target_ms"] = GAP_TARGET_MS.into();
-    }
+    deployment::set_on_routes(&mut config, "timeout_ms", 20_000);
+    deployment::set_on_routes(&mut config, "gap_target_ms", GAP_TARGET_MS);
     config["limits"]["header_timeout_ms"] = 20_000.into();
     deployment.put_config(&config.to_string());
     wait_until(|| async { log(&deployment).contains("version=2") }).await;
--- a/daemon/tests/stalled_groups.rs
+++ b/daemon/tests/stalled_groups.rs
@@ -73,22 +73,24 @@
     responses
 }
 
-#[tokio::test]
-async fn left_in_stall() {
-    let (deployment, _directory) = start(Fault::Hang).await;
+/// Returns the responses to requests whose backends have a fault and whose group stops.
+async fn responses_in_stall(fault: Fault) -> Vec<Option<ClientResponse>> {
+    let (deployment, _directory) = start(fault).await;
     let requests = send_requests(&deployment);
     stop_rank(&deployment).await;
-    let responses = responses(&deployment, requests).await;
+    responses(&deployment, requests).await
+}
+
+#[tokio::test]
+async fn left_in_stall() {
+    let responses = responses_in_stall(Fault::Hang).await;
     let left = responses.iter().filter(|response| response.is_none()).count();
     assert_eq!(left, 0, "of {REQUESTS} callers left without an answer");
 }
 
 #[tokio::test]
 async fn left_mid_stream() {
-    let (deployment, _directory) = start(Fault::Hold).await;
-    let requests = send_requests(&deployment);
-    stop_rank(&deployment).await;
-    let responses = responses(&deployment, requests).await;
+    let responses = responses_in_stall(Fault::Hold).await;
     let left = responses.iter().filter(|response| response.is_none()).count();
     assert_eq!(left, 0, "of {REQUESTS} callers left without the end of their stream");
     let complete = responses.iter().flatten().filter(|response| response.is_complete).count();
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -382,6 +382,20 @@
     })
 }
 
+/// Sets a field of all routes of a configuration.
+///
+/// # Panics
+///
+/// Panics if the configuration has no list of routes.
+pub fn set_on_routes(config: &mut serde_json::Value, field: &str, value: u64) {
+    let Some(routes) = config["routes"].as_array_mut() else {
+        panic!("configuration has no routes");
+    };
+    for route in routes {
+        route[field] = value.into();
+    }
+}
+
 /// Request of a client.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
