--- a/review/harness/common.rs
+++ b/review/harness/common.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -368,6 +368,10 @@
     ended: Arc<AtomicBool>,
     listed: Arc<Mutex<bool>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    active: Arc<AtomicUsize>,
+    /// Requests that it runs and queues at most; it rejects others as a full runner does.
+    pub places: Arc<AtomicUsize>,
+    pub full: Arc<Mutex<Vec<(Instant, String, String)>>>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
 }
 
@@ -390,6 +394,9 @@
             ended: Arc::default(),
             listed: Arc::new(Mutex::new(true)),
             open: Arc::default(),
+            active: Arc::default(),
+            places: Arc::new(AtomicUsize::new(usize::MAX)),
+            full: Arc::default(),
             arrivals: Arc::clone(arrivals),
         };
         runner.register("ready", 1);
@@ -450,18 +457,37 @@
         loop {
             let head = conn.read_head()?;
             conn.read_body(&head)?;
+            if head.target() == "/api/report" {
+                let active = self.active.load(Ordering::SeqCst);
+                let report = format!(
+                    "{{\"stage\":\"combined\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
+                     \"busy\":false,\"sequence\":0,\"queued\":0,\"active\":{active},\"kv_used\":0,\
+                     \"kv_total\":494000,\"handles\":0}}"
+                );
+                conn.respond("200 OK", "Content-Type: application/json\r\n", report.as_bytes())?;
+                continue;
+            }
             let attempt = head.header("x-attempt-id").unwrap_or("").to_owned();
             if head.header("x-expect-instance").is_some_and(|id| id != self.id) {
                 let headers = format!("X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n", self.id);
                 conn.respond("421 Misdirected Request", &headers, b"")?;
                 continue;
             }
+            if self.active.fetch_add(1, Ordering::SeqCst) >= self.places.load(Ordering::SeqCst) {
+                self.active.fetch_sub(1, Ordering::SeqCst);
+                self.full.lock().unwrap().push((Instant::now(), attempt.clone(), self.id.clone()));
+                let headers = format!("X-Attempt-Id: {attempt}\r\nX-Not-Executed: 1\r\n");
+                conn.respond("503 Service Unavailable", &headers, b"")?;
+                continue;
+            }
             let done = Arc::new(AtomicBool::new(false));
             let (at, runner) = (Instant::now(), self.id.clone());
             let seen = Arrival { attempt: attempt.clone(), runner, at, done: Arc::clone(&done) };
             self.arrivals.lock().unwrap().push(seen);
             let headers = format!("X-Attempt-Id: {attempt}\r\nX-Response-Seal: s.{attempt}\r\n");
-            work(&mut conn, &head, &headers)?;
+            let worked = work(&mut conn, &head, &headers);
+            self.active.fetch_sub(1, Ordering::SeqCst);
+            worked?;
             done.store(true, Ordering::SeqCst);
         }
     }
@@ -473,6 +499,7 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    role: &'static str,
     settings: PathBuf,
     program: String,
     child: Option<Child>,
@@ -506,16 +533,37 @@
         if let Err(error) = std::fs::write(&settings, text) {
             cannot_run(&format!("settings: {error}"));
         }
-        let (name, program) = (name.to_owned(), program());
-        let mut gateway = Self { name, callers, readiness, settings, program, child: None };
+        let (name, program, role) = (name.to_owned(), program(), "gateway");
+        let mut gateway = Self { name, callers, readiness, role, settings, program, child: None };
         gateway.run();
         gateway
     }
 
+    /// Starts the agent beside a runner.
+    pub fn start_agent(name: &str, folder: &Path, store: &StorePath, runner: SocketAddr) -> Self {
+        let text = format!(
+            "{{\"name\":\"{name}\",\"failure_domain\":\"a\",\"ip\":\"127.0.0.1\",\"backend_address\":\"{runner}\",\
+             \"link_port\":{},\"store_address\":\"{}\",\"drain_ms\":2000,\"grace_s\":8,\
+             \"retry_ratio\":0.2,\"retry_slack\":92,\"retry_window_s\":10,\"link_mbps\":20.0,\
+             \"store_reads_per_s\":2000}}",
+            free_port(),
+            store.address
+        );
+        let settings = folder.join(format!("{name}.json"));
+        if let Err(error) = std::fs::write(&settings, text) {
+            cannot_run(&format!("settings: {error}"));
+        }
+        let (name, program, role) = (name.to_owned(), program(), "agent");
+        let (callers, readiness) = (runner, runner);
+        let mut agent = Self { name, callers, readiness, role, settings, program, child: None };
+        agent.run();
+        agent
+    }
+
     pub fn run(&mut self) {
         let log = std::fs::File::create(self.settings.with_extension("log")).unwrap();
         let mut command = Command::new(&self.program);
-        command.args(["gateway", "--settings"]).arg(&self.settings);
+        command.args([self.role, "--settings"]).arg(&self.settings);
         command.stdout(Stdio::from(log)).stderr(Stdio::null());
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("gateway: {e}")));
         STARTED.lock().unwrap().push(child.id());
