Announce request rates between gateways, and define the messages of the new parts

Shares of what gateways have in common are equal, although callers are distributed unevenly. Each gateway now tells the others its rate for each service in the hello messages that it sends anyway. No decision uses the others' rates yet. The remaining new fields are defined ahead of the parts that use them. Ruled out: a message of its own for the rates.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fleet;
 pub mod fold;
 pub mod gate;
+pub mod gateway_rates;
 pub mod group;
 pub mod health;
 pub mod ids;
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -341,6 +341,7 @@
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
             draw: self.division.number(now).into(),
+            ..Load::default()
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::crash_ledger::{Audience, CrashLedger};
 use crate::deployment_settings::{self, GatewaySettings};
 use crate::error::DaemonError;
+use crate::gateway_rates::SharedRates;
 use crate::ingress::{self, Phase};
 use crate::peers::Peers;
 use crate::reload::Reload;
@@ -75,6 +76,8 @@
     pub crashes: Arc<CrashLedger>,
     /// Trials of requests that may crash backends, written by both.
     pub trials: Arc<SharedTrials>,
+    /// Request rates of this gateway and the others, written by both.
+    pub rates: Arc<SharedRates>,
     /// Backends that said in a response that they leave, from the traffic thread to the control thread.
     pub leaving: mpsc::UnboundedSender<Leaving>,
 }
@@ -90,9 +93,10 @@
     let load_reports = Arc::<LoadReports>::default();
     let stated_limits = Arc::new(StatedLimits::new(settings.common.name()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
-    let trials = Arc::default();
+    let (trials, rates) = (Arc::default(), Arc::default());
     let (leaving, left) = mpsc::unbounded_channel();
-    let shared = SharedState { snapshot, load_reports, stated_limits, crashes, trials, leaving };
+    let shared =
+        SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
     control_thread(move || control(control_settings, control_shared, left))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -426,6 +430,9 @@
                     self.readers.notify_outdated(now_ms());
                 }
                 self.mark_leaving(&hello.leaving);
+                if let Some(peer) = hello.peer.filter(|peer| peer.role() == Role::Gateway) {
+                    self.shared.rates.learn(&peer.name, hello.demands);
+                }
                 for named in &hello.named_rates {
                     self.shared.stated_limits.learn(&self.fleet, named);
                 }
@@ -494,8 +501,13 @@
         let config_version = self.config_version();
         let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
         let named_rates = || self.shared.stated_limits.announced(&self.fleet);
-        let hello =
-            || Hello { config_version, leaving, named_rates: named_rates(), ..Hello::default() };
+        let hello = || Hello {
+            config_version,
+            leaving,
+            named_rates: named_rates(),
+            demands: self.shared.rates.announced(),
+            ..Hello::default()
+        };
         self.peers.send_hello(hello).await;
         self.send_crashes(now).await;
         self.send_trials().await;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod entry;
 pub mod error;
 pub mod gateway;
+pub mod gateway_rates;
 pub mod group_leader;
 pub mod groups;
 pub mod in_flight;
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -108,12 +108,11 @@
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
         let sample_size = least_loaded::sample_size(candidates.len(), gateways);
-        let arrivals = self.observations.borrow().arrivals.get(service).copied();
         let competing = least_loaded::competing_gateways(
             &candidates,
             limits,
             gateways,
-            arrivals.unwrap_or_default().per_ms(now),
+            self.rates.own_per_s(service) / MS_PER_S,
             self.turns.count(service) > 0,
         );
         match least_loaded::choose(&candidates, limits, competing, sample_size, rand::random()) {
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use currantlink_core::arrivals::ArrivalRate;
 use currantlink_core::concurrency::ConcurrencyLimiter;
 use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
@@ -37,6 +36,7 @@
 use crate::departure::{Departure, Progress};
 use crate::deployment_settings::GatewaySettings;
 use crate::gateway::SharedState;
+use crate::gateway_rates::SharedRates;
 use crate::in_flight::{InFlightRequest, InFlightRequests};
 use crate::pool::ConnectionPool;
 use crate::rejection::{CONFIGURATION_RETRY_AFTER, NotRunReason, Rejection};
@@ -61,6 +61,7 @@
     pub(crate) stated_limits: Arc<StatedLimits>,
     pub(crate) crashes: Arc<CrashLedger>,
     pub(crate) trials: Arc<SharedTrials>,
+    pub(crate) rates: Arc<SharedRates>,
     leaving: mpsc::UnboundedSender<Leaving>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
@@ -87,8 +88,6 @@
     /// Pauses of recent streams, by service.
     pub(crate) stream_paces: IndexMap<String, ConcurrencyLimiter>,
     pub(crate) durations: IndexMap<String, Durations>,
-    /// Rates of the requests for backends, by service.
-    pub(crate) arrivals: IndexMap<String, ArrivalRate>,
     /// Pauses between the events of streams in progress, by service.
     pub(crate) stream_pace: IndexMap<String, StreamPace>,
     pub(crate) unexplained_losses: VecDeque<UnexplainedLoss>,
@@ -188,7 +187,7 @@
 impl Gateway {
     /// Creates a gateway without observations.
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
-        let SharedState { snapshot, load_reports, stated_limits, crashes, trials, leaving } =
+        let SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving } =
             shared;
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -197,6 +196,7 @@
             stated_limits,
             crashes,
             trials,
+            rates,
             leaving,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -127,7 +127,7 @@
         tried: &[FleetKey],
     ) -> Result<Placement, Rejection> {
         let service = &call.service().name;
-        self.record_arrival(service);
+        self.rates.record_arrival(service);
         let may_wait = call.service().engine.is_some();
         let origin = origin(call, relay);
         if self.is_out_of_patience(call) {
@@ -174,11 +174,6 @@
         Err(self.unavailable_rejection(call, unavailable, interval_ms))
     }
 
-    fn record_arrival(&self, service: &str) {
-        let mut observations = self.observations.borrow_mut();
-        observations.arrivals.entry(service.to_owned()).or_default().record(now_ms());
-    }
-
     /// Returns how long a request waits for a trial.
     pub(crate) fn trial_wait(&self, call: &Call, relay: &RetryState) -> Duration {
         let on_time_ms = call.target_left_ms();
