Move work away from engines that are slower than their group

All ranks of a group execute each pass together, so one slow rank delays the streams of all.

Agents tell gateways and the group's leader the pace. A gateway lets a slow engine run only as many requests as keep its part of a pass within that of a full one of normal speed, and none if even an empty pass takes longer; plans weight a rank's load by its pace. Both compare with the median, so that nothing changes if most engines are slow. Ruled out: ejecting slow engines, since their ranks take part in every pass anyway.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -1,6 +1,8 @@
 //! Selects the least loaded backend for a request, or rejects the request, from delayed reports.
 
 use crate::fleet::FleetKey;
+use crate::pace;
+use crate::routes::EngineProfile;
 use crate::silence::SILENT_AFTER_RANGE_MS;
 
 /// Age at which a load report is discarded.
@@ -70,6 +72,8 @@
     pub interval_ms: f64,
     /// Random number that the report names, plus the rank of this gateway among all gateways.
     pub draw: u64,
+    /// Slowdown factor of the backend: 1 is its normal speed, larger is slower. 0 if unknown.
+    pub pace: f64,
 }
 
 impl LoadReport {
@@ -158,6 +162,20 @@
     if are_waiting || demand > room { gateways } else { 1 }
 }
 
+/// Reduces the slots of engines that are slower than others of the service to the requests that they can
+/// run without delaying the others of their group, and removes those that can run none unless all are
+/// such.
+pub fn limit_slow_engines(candidates: &mut Vec<Candidate>, engine: &EngineProfile) {
+    let reported = candidates.iter().map(|c| c.report.map_or(0.0, |report| report.pace));
+    let paces = pace::relative_paces(reported);
+    for (candidate, relative_pace) in candidates.iter_mut().zip(paces) {
+        candidate.slots = pace::usable_slots(engine, candidate.slots, relative_pace);
+    }
+    if candidates.iter().any(|candidate| candidate.slots > 0) {
+        candidates.retain(|candidate| candidate.slots > 0);
+    }
+}
+
 /// Limits on the requests at a backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
--- a/core/src/rebalance.rs
+++ b/core/src/rebalance.rs
@@ -4,6 +4,9 @@
 //! therefore copies only a few experts to each rank, selected to reduce the load of the most loaded
 //! ranks most, and a new plan is made as soon as the previous one is in use. Among plans with
 //! different numbers of copies, the one with the highest gain per time is selected.
+//!
+//! All ranks of a group execute each pass together, so a slow rank delays all of them. The load of a
+//! rank is weighted by its pace: experts move away from a slow one.
 
 use crate::pace::COPY_SLOWDOWN;
 use crate::routes::ExpertProfile;
@@ -36,16 +39,18 @@
     pub skew_after: f64,
 }
 
-/// Plans a better map than `map` for `rates`, the choices by set and expert. Returns `None` if the
-/// skew is at most `replan_skew` or no plan repays its copies.
+/// Plans a better map than `map` for `rates`, the choices by set and expert, and `paces`, the slowdown
+/// factor of each rank, 1 where none is given. Returns `None` if the skew is at most `replan_skew` or
+/// no plan repays its copies.
 pub fn plan(
     map: &ExpertMap,
     rates: &[Vec<f64>],
+    paces: &[f64],
     profile: &ExpertProfile,
     replan_skew: f64,
 ) -> Option<MapPlan> {
     let goal = 1.0 + GOAL_SHARE * (replan_skew - 1.0);
-    let mut search = Search::new(map, rates, profile, goal);
+    let mut search = Search::new(map, rates, paces, profile, goal);
     let skew_before = search.skew();
     if skew_before <= replan_skew {
         return None;
@@ -72,7 +77,7 @@
 
 /// Returns the load of the most loaded rank over the mean, averaged over the sets.
 pub fn skew(map: &ExpertMap, rates: &[Vec<f64>], profile: &ExpertProfile) -> f64 {
-    Search::new(map, rates, profile, 1.0).skew()
+    Search::new(map, rates, &[], profile, 1.0).skew()
 }
 
 /// Returns the time of a pass, relative to a pass with evenly loaded ranks.
@@ -96,6 +101,9 @@
     rates: Vec<f64>,
     /// Ranks of each expert.
     replica_ranks: Vec<Vec<usize>>,
+    /// Slowdown factor of each rank.
+    paces: Vec<f64>,
+    /// Load of each rank, weighted by its pace.
     loads: Vec<f64>,
     /// Cost of each rank's load.
     rank_costs: Vec<f64>,
@@ -113,10 +121,18 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(map: &ExpertMap, rates: &[Vec<f64>], profile: &'a ExpertProfile, goal: f64) -> Self {
-        let sets: Vec<SetState> =
-            map.iter().zip(rates).map(|(set, rates)| SetState::new(set, rates)).collect();
+    fn new(
+        map: &ExpertMap,
+        rates: &[Vec<f64>],
+        paces: &[f64],
+        profile: &'a ExpertProfile,
+        goal: f64,
+    ) -> Self {
         let ranks = map.first().map_or(0, Vec::len);
+        let pace = |rank: usize| paces.get(rank).copied().unwrap_or(1.0);
+        let paces: Vec<f64> = (0..ranks).map(pace).collect();
+        let sets: Vec<SetState> =
+            map.iter().zip(rates).map(|(set, rates)| SetState::new(set, rates, &paces)).collect();
         Self { sets, new_per_rank: vec![0; ranks], profile, goal }
     }
 
@@ -193,7 +209,7 @@
 }
 
 impl SetState {
-    fn new(map: &[Vec<u32>], rates: &[f64]) -> Self {
+    fn new(map: &[Vec<u32>], rates: &[f64], paces: &[f64]) -> Self {
         let ranks = map.iter().map(|rank| rank.iter().map(|&e| (e, false)).collect()).collect();
         let mut replica_ranks = vec![Vec::new(); rates.len()];
         for (rank, experts) in map.iter().enumerate() {
@@ -206,6 +222,7 @@
             current_experts: map.to_vec(),
             rates: rates.to_vec(),
             replica_ranks,
+            paces: paces.to_vec(),
             loads: vec![0.0; map.len()],
             rank_costs: vec![0.0; map.len()],
             mean,
@@ -217,8 +234,9 @@
 
     fn recompute(&mut self) {
         for rank in 0..self.ranks.len() {
-            self.loads[rank] =
+            let load: f64 =
                 self.ranks[rank].iter().map(|&(e, _)| self.current_replica_load(e)).sum();
+            self.loads[rank] = self.paces[rank] * load;
             self.rank_costs[rank] = self.rank_cost(self.loads[rank]);
         }
     }
@@ -286,9 +304,9 @@
         gain
     }
 
-    /// Returns the decrease of the potential if the load of a rank changes by `shift`.
+    /// Returns the decrease of the potential if the unweighted load of a rank changes by `shift`.
     fn shift_gain(&self, rank: usize, shift: f64) -> f64 {
-        self.rank_costs[rank] - self.rank_cost(self.loads[rank] + shift)
+        self.rank_costs[rank] - self.rank_cost(self.loads[rank] + self.paces[rank] * shift)
     }
 
     fn apply(&mut self, copy: ExpertCopy, is_new: bool) {
--- a/core/tests/rebalance.rs
+++ b/core/tests/rebalance.rs
@@ -59,7 +59,7 @@
         let mut map = round_robin_map();
         for rates in seeds {
             let rates = vec![rates[..24].to_vec(), rates[24..].to_vec()];
-            if let Some(next) = plan(&map, &rates, &PROFILE, 1.0) {
+            if let Some(next) = plan(&map, &rates, &[], &PROFILE, 1.0) {
                 assert_valid(&map, &next.map, next.copies);
                 prop_assert!(next.skew_after < next.skew_before);
                 prop_assert!((skew(&next.map, &rates, &PROFILE) - next.skew_after).abs() < 1e-9);
@@ -73,13 +73,13 @@
 fn hot_expert_spread() {
     let mut rates = vec![vec![1.0; 24]; 2];
     rates[0][3] = 12.0;
-    let next = plan(&round_robin_map(), &rates, &PROFILE, 1.0).unwrap();
+    let next = plan(&round_robin_map(), &rates, &[], &PROFILE, 1.0).unwrap();
     assert!(next.skew_before > 1.5 && next.skew_after < 1.25, "{next:?}");
 }
 
 #[test]
 fn even_demand() {
-    assert_eq!(plan(&round_robin_map(), &vec![vec![1.0; 24]; 2], &PROFILE, 1.0), None);
+    assert_eq!(plan(&round_robin_map(), &vec![vec![1.0; 24]; 2], &[], &PROFILE, 1.0), None);
 }
 
 #[test]
@@ -133,7 +133,7 @@
     let mut rates = vec![vec![1.0; 24]; 2];
     rates[0][3] = 12.0;
     let skew_before = skew(&round_robin_map(), &rates, &PROFILE);
-    assert_eq!(plan(&round_robin_map(), &rates, &PROFILE, skew_before + 0.01), None);
+    assert_eq!(plan(&round_robin_map(), &rates, &[], &PROFILE, skew_before + 0.01), None);
 }
 
 #[test]
@@ -145,7 +145,7 @@
     rates[0][3] = 12.0;
     let old = round_robin_map();
     let copies = |replan_skew| {
-        let next = plan(&old, &rates, &PROFILE, replan_skew).unwrap();
+        let next = plan(&old, &rates, &[], &PROFILE, replan_skew).unwrap();
         let per_rank = (0..RANKS).map(|rank| new_experts(&old, &next.map, rank));
         per_rank.fold(vec![0, 0], |sum, new| vec![sum[0] + new[0], sum[1] + new[1]])
     };
@@ -166,3 +166,20 @@
     collected.move_into(&mut own);
     assert_eq!(own, [111, 222], "choices are reported once");
 }
+
+/// Guards against a map that ignores a slow rank, whose part of each pass delays the whole group.
+#[test]
+fn slow_rank() {
+    let (rates, slow) = (vec![vec![1.0; 24]; 2], 2);
+    let paces: Vec<f64> = (0..RANKS).map(|rank| if rank == slow { 2.0 } else { 1.0 }).collect();
+    assert_eq!(plan(&round_robin_map(), &rates, &[], &PROFILE, 1.2), None);
+    let mut map = round_robin_map();
+    let mut skews = Vec::new();
+    while let Some(next) = plan(&map, &rates, &paces, &PROFILE, 1.2) {
+        assert_valid(&map, &next.map, next.copies);
+        assert!(next.skew_after < next.skew_before);
+        skews.push(next.skew_after);
+        map = next.map;
+    }
+    assert!(skews.last().is_some_and(|&skew| skew <= 1.3), "{skews:?}");
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -296,7 +296,8 @@
         self.collected_choices.move_into(&mut choices);
         let has_map_in_use = self.known_maps.get(rank.map_version).is_some();
         let backend = self.settings.backend_address;
-        let report = Report { state: rank, choices, experts, backend, has_map_in_use };
+        let pace = state.pace;
+        let report = Report { state: rank, choices, experts, backend, has_map_in_use, pace };
         if let Some(group_leader) = &mut self.group_leader {
             let own_link = self.settings.common.link_address();
             group_leader.record_running(state.active);
@@ -341,7 +342,8 @@
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
             draw: self.division.number(now).into(),
-            ..Load::default()
+            group: state.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default(),
+            pace: state.pace as f32,
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -466,12 +466,14 @@
         let Ok(address) = load.backend_address.parse::<SocketAddr>() else {
             return;
         };
-        let Load { active, queued, is_open, is_stalled, draw, .. } = *load;
+        let Load { active, queued, is_open, is_stalled, draw, pace, .. } = *load;
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
         let draw = u64::from(draw) + self.division_rank;
-        let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
+        let pace = f64::from(pace);
+        let report =
+            LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw, pace };
         self.shared.load_reports.record(address, report);
     }
 
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -48,6 +48,8 @@
     experts: Vec<Vec<u32>>,
     experts_version: Option<u64>,
     has_map_in_use: bool,
+    /// Slowdown factor; 0 if unknown.
+    pace: f64,
 }
 
 impl KnownRank {
@@ -84,6 +86,8 @@
     pub backend: SocketAddr,
     /// Whether the agent knows the complete map in use.
     pub has_map_in_use: bool,
+    /// Slowdown factor of the rank: 1 is its normal speed, larger is slower. 0 if unknown.
+    pub pace: f64,
 }
 
 /// Leader of one group.
@@ -189,6 +193,7 @@
         rank.backend = Some(report.backend);
         rank.report_ms = now_ms;
         rank.has_map_in_use = report.has_map_in_use;
+        rank.pace = report.pace;
         if !report.experts.is_empty() {
             rank.experts = report.experts;
             rank.experts_version = Some(report.state.map_version);
@@ -285,15 +290,18 @@
             return;
         };
         let replan_skew = self.pace.replan_skew(&self.profile, self.running);
-        let Some(plan) = rebalance::plan(map, &rates, &self.profile, replan_skew) else {
+        let paces = pace::relative_paces(self.ranks.iter().map(|rank| rank.pace));
+        let Some(plan) = rebalance::plan(map, &rates, &paces, &self.profile, replan_skew) else {
             return;
         };
         let (before, after, copies) = (plan.skew_before, plan.skew_after, plan.copies);
+        let slowest = paces.iter().copied().fold(1.0, f64::max);
         let map = Arc::new(plan.map);
         let version = self.switch.start(now_ms, Arc::clone(&map));
         self.planned_map = Some((version, map));
         log::info!(version, copies, skew_before:% = format!("{before:.2}"),
-            skew_after:% = format!("{after:.2}"), fence = self.fence(); "map change started");
+            skew_after:% = format!("{after:.2}"), slowest_pace:% = format!("{slowest:.2}"),
+            fence = self.fence(); "map change started");
     }
 
     /// Sets a rank's experts from the planned map as soon as the rank uses that map, before the
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -36,6 +36,7 @@
         choices: report.choices.into_iter().map(|count| count >> choices_shift).collect(),
         experts: report.experts.into_iter().map(|experts| Experts { experts }).collect(),
         has_map_in_use: report.has_map_in_use,
+        pace: report.pace as f32,
     }
 }
 
@@ -71,7 +72,8 @@
     let experts = report.experts.into_iter().map(|set| set.experts).collect();
     let unshift = |count: u64| count.checked_shl(report.choices_shift).unwrap_or(0);
     let choices = report.choices.into_iter().map(unshift).collect();
-    Ok(Report { state, choices, experts, backend, has_map_in_use: report.has_map_in_use })
+    let (has_map_in_use, pace) = (report.has_map_in_use, f64::from(report.pace));
+    Ok(Report { state, choices, experts, backend, has_map_in_use, pace })
 }
 
 /// Encodes an order. A map is encoded as its difference to `base`, if present.
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -272,6 +272,9 @@
                 local: member.announcement.failure_domain == domain,
             });
         }
+        if let Some(engine) = call.service().engine.as_ref().filter(|e| e.experts.is_some()) {
+            least_loaded::limit_slow_engines(&mut set.candidates, engine);
+        }
         set
     }
 
