Start the callers of the stop test once its configuration is in force

The test stalls streams for longer than the initial configuration of the deployment allows. Callers now start when each gateway accepts a key that only the configurations of the test have; the checks are unchanged.

--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -11,8 +11,9 @@
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
     ClientRequest, ClientResponse, Connection, Deployment, IDEMPOTENT, KEY, ONCE, STREAM, Shape,
-    config, set_on_routes,
+    config, send_request, set_on_routes, wait_until,
 };
+use http::StatusCode;
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -25,6 +26,8 @@
 
 /// Target for pauses with which callers wait for the next event for 20 s.
 const GAP_TARGET_MS: u64 = 2_500;
+/// API key that only the configurations of the stops have.
+const STOPS_KEY: &str = "key-stops";
 const GATEWAYS: usize = 3;
 const GRACE_S: u64 = 8;
 const SHAPE: Shape = Shape {
@@ -84,6 +87,7 @@
     let mut deployment = Deployment::start(&options.program, directory, SHAPE).await?;
     configure(&deployment, 2);
     deployment.wait_until_ready().await;
+    wait_until_configured(&deployment).await;
     let mut rng = StdRng::seed_from_u64(seed);
     for backend in &deployment.model_backends {
         let stalls = (0..5_000).map(|_| MAX_STALL.mul_f64(rng.random::<f64>().powi(STALL_POWER)));
@@ -134,12 +138,26 @@
 
 /// Writes a configuration whose routes allow more time than the grace period.
 fn configure(deployment: &Deployment, version: u64) {
-    let mut config = config(version, &[KEY]);
+    let mut config = config(version, &[KEY, STOPS_KEY]);
     set_on_routes(&mut config, "timeout_ms", 20_000);
     set_on_routes(&mut config, "gap_target_ms", GAP_TARGET_MS);
     deployment.put_config(&config.to_string());
 }
 
+/// Waits until all gateways use a configuration of [`configure`]. A stream that is admitted under the
+/// initial one may be ended for a pause that the stops allow.
+async fn wait_until_configured(deployment: &Deployment) {
+    for gateway in &deployment.gateways {
+        let key = Some(STOPS_KEY.to_owned());
+        let probe = ClientRequest { key, ..ClientRequest::new("GET", IDEMPOTENT, "probe") };
+        let is_configured = || async {
+            let code = send_request(gateway.callers, &probe).await.code();
+            code != 0 && code != StatusCode::UNAUTHORIZED.as_u16()
+        };
+        wait_until(is_configured).await;
+    }
+}
+
 async fn call_until(
     end: Instant,
     gateways: Vec<std::net::SocketAddr>,
