Evacuate failure domains on the operator's instruction

Until now only single backends could leave.

Hello messages to gateways and agents carry the state; a change read from the store is sent to gateways at once. The leader of a group begins no map change while a rank is in an evacuated domain. Reads of the store after a failed one have a longer timeout, so that a store that takes 2.2 s to respond is followed. A changed failure domain in a backend's record is published at once.

Ruled out: a last state by arrival time, since a stale peer would undo the operator's record; keeping the end of an evacuation only as long as it is announced, since a process that was frozen would bring the evacuation back; gossip of the end by processes that never knew the evacuation, since it would not stop while gateways restart.

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -76,8 +76,8 @@
     /// Number of seeds.
     #[bpaf(argument("N"), fallback(10))]
     pub seeds: u64,
-    /// Duration of the faults or stops for each seed.
-    #[bpaf(argument("S"), fallback(5))]
+    /// Duration of the faults or stops for each seed. An evacuation is checked in runs of over 6 s.
+    #[bpaf(argument("S"), fallback(10))]
     pub seconds: u64,
 }
 
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -3,7 +3,8 @@
 //! The guarantees, as observed by callers and backends: a response belongs to its request, a
 //! non-idempotent request runs at most once, a request that is refused as not run did not run, a
 //! successful stream is complete, all ranks use the same expert map in a forward pass, no process
-//! fails, and all requests are served again after the faults.
+//! fails, no request reaches a zone that was evacuated some seconds ago, and all requests are served
+//! again after the faults.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -24,8 +25,23 @@
 use crate::output;
 use crate::platform::count_runs;
 
-const SHAPE: Shape =
-    Shape { gateways: 2, ranks: 3, plain_backends: 2, slots: None, events: 6, grace_s: 3 };
+const SHAPE: Shape = Shape {
+    gateways: 2,
+    ranks: 3,
+    plain_backends: 2,
+    slots: None,
+    events: 6,
+    grace_s: 3,
+    zones: &["b", EVACUATED_ZONE],
+};
+/// Zone that is evacuated for a part of the run.
+const EVACUATED_ZONE: &str = "c";
+/// Index of the plain backend and of the rank in that zone.
+const EVACUATED_INDEX: usize = 1;
+/// Part of the run in which the zone is evacuated.
+const EVACUATED_PART: std::ops::Range<f64> = 0.1..0.9;
+/// Time by which an evacuation takes effect, as stated to the operator.
+const EVACUATE_LIMIT: Duration = Duration::from_millis(5_000);
 const KINDS: [(&str, &str); 3] = [("POST", RESUMABLE), ("POST", ONCE), ("GET", IDEMPOTENT)];
 /// Time between requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
@@ -89,7 +105,12 @@
     let mut deployment = Deployment::start(&options.program, directory, SHAPE).await?;
     deployment.wait_until_ready().await;
     let mut rng = StdRng::seed_from_u64(seed);
-    let end = Instant::now() + Duration::from_secs(options.seconds);
+    let run_time = Duration::from_secs(options.seconds);
+    let began_at = Instant::now();
+    let end = began_at + run_time;
+    let evacuation = began_at + run_time.mul_f64(EVACUATED_PART.start)
+        ..began_at + run_time.mul_f64(EVACUATED_PART.end);
+    let (mut is_evacuated, mut lifted_at) = (false, None);
     let mut sent = Vec::new();
     let mut stopped: Vec<(Instant, u32)> = Vec::new();
     let mut next_fault = Instant::now();
@@ -99,6 +120,21 @@
             next_fault = Instant::now() + FAULT_INTERVAL.mul_f64(rng.random_range(0.2..2.0));
             inject_fault(&mut deployment, &mut rng, &mut stopped)?;
         }
+        let was_evacuated =
+            std::mem::replace(&mut is_evacuated, evacuation.contains(&Instant::now()));
+        match (was_evacuated, is_evacuated) {
+            (false, true) => deployment.evacuate(EVACUATED_ZONE),
+            (true, false) => {
+                lifted_at = Some(Instant::now());
+                deployment.lift_evacuation(EVACUATED_ZONE);
+            }
+            _ => {}
+        }
+        if is_evacuated {
+            // The bound holds for processes that reach the store.
+            deployment.records.set_health(Health::Up);
+            deployment.records.set_delay(Duration::ZERO);
+        }
         let (due, later): (Vec<_>, Vec<_>) =
             stopped.into_iter().partition(|&(until, _)| until <= Instant::now());
         due.iter().for_each(|&(_, id)| resume(id));
@@ -117,6 +153,10 @@
         }
     }
     let mut violations = check(&deployment, &exchanges);
+    let late = count_late(&deployment, evacuation.start + EVACUATE_LIMIT, lifted_at);
+    if late > 0 {
+        violations.push(format!("evacuated zone gets nothing: {late} requests reached it"));
+    }
     if failed > 0 {
         violations.push(format!("no process fails: {failed} ended by themselves"));
     }
@@ -257,6 +297,14 @@
     violations
 }
 
+/// Returns the number of requests that reached the evacuated zone between two times.
+fn count_late(deployment: &Deployment, from: Instant, lifted_at: Option<Instant>) -> usize {
+    let backends = [&deployment.plain_backends, &deployment.model_backends];
+    let arrivals = backends.iter().flat_map(|backends| backends[EVACUATED_INDEX].arrival_times());
+    let is_late = |at: &Instant| *at >= from && lifted_at.is_none_or(|lifted_at| *at < lifted_at);
+    arrivals.filter(is_late).count()
+}
+
 fn events(count: u64) -> String {
     (1..=count).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
--- a/bench/src/stops.rs
+++ b/bench/src/stops.rs
@@ -34,6 +34,7 @@
     slots: None,
     events: 5,
     grace_s: GRACE_S,
+    zones: &["a"],
 };
 const KINDS: [(&str, &str); 3] = [("POST", STREAM), ("POST", ONCE), ("GET", IDEMPOTENT)];
 const CALLERS: u64 = 16;
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -224,7 +224,10 @@
     fn update(&mut self, key: FleetKey, announcement: Announcement) -> bool {
         let member = &mut self.members[key.0 as usize];
         let leaving = member.leaving || announcement.draining;
-        let changed = leaving != member.leaving || member.announcement.slots != announcement.slots;
+        let known = &member.announcement;
+        let changed = leaving != member.leaving
+            || known.slots != announcement.slots
+            || known.failure_domain != announcement.failure_domain;
         member.announcement = announcement;
         member.leaving = leaving;
         member.dropped_at_ms = None;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -161,6 +161,12 @@
         Some(Registration { is_new, is_first_hello })
     }
 
+    /// Makes hello messages to all gateways due.
+    pub fn greet_gateways(&mut self, now_ms: u64) {
+        let gateways = self.members.values_mut().filter(|m| m.peer.role() == Role::Gateway);
+        gateways.for_each(|member| member.greet_at_ms = now_ms);
+    }
+
     /// Returns the processes of a role that have sent a hello message recently.
     pub fn alive(&self, now_ms: u64, role: Role) -> impl Iterator<Item = (&Peer, SocketAddr)> {
         let timeout_ms = TIMEOUT_INTERVALS * interval_ms(role, self.own.role());
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use currantlink_core::demand::CollectedChoices;
+use currantlink_core::evacuation::Evacuations;
 use currantlink_core::routes::RouteTable;
 use currantlink_core::stop::Stop;
 use currantlink_core::switch::{Action, Order, RankState};
@@ -23,6 +24,7 @@
 use crate::clock::now_ms;
 use crate::deployment_settings::{self, AgentSettings};
 use crate::error::DaemonError;
+use crate::evacuations;
 use crate::group_leader::{GroupLeader, KnownLeader, Report};
 use crate::known_maps::KnownMaps;
 use crate::order_sender;
@@ -177,6 +179,10 @@
     known_maps: KnownMaps,
     /// Choices of other ranks that were received since the last report with choices.
     collected_choices: CollectedChoices,
+    /// Evacuations that gateways announce.
+    evacuations: Evacuations,
+    /// Whether a rank of the group that this agent leads is in an evacuated failure domain.
+    has_evacuated_rank: bool,
     /// Agent that adds up choices for the leader, if it is neither the leader nor this agent.
     collector: Option<SocketAddr>,
 }
@@ -215,6 +221,8 @@
             known_maps: KnownMaps::default(),
             collected_choices: CollectedChoices::default(),
             collector: None,
+            evacuations: Evacuations::default(),
+            has_evacuated_rank: false,
         }
     }
 
@@ -241,7 +249,9 @@
             Update::Peer(peer) => {
                 self.peers.register_record(peer);
             }
-            Update::Backends(_)
+            // The hello messages of gateways name the evacuations.
+            Update::Evacuations(_)
+            | Update::Backends(_)
             | Update::BackendChanges(_)
             | Update::StoreReconnected { .. }
             | Update::PassOn(_) => {}
@@ -357,6 +367,7 @@
         match message.body {
             Some(peer_message::Body::Hello(hello)) => {
                 self.peers.register_hello(&hello);
+                evacuations::learn(&mut self.evacuations, hello.evacuations);
             }
             Some(peer_message::Body::Lead(lead)) => self.handle_heartbeat(from, &lead),
             Some(peer_message::Body::RankReport(report)) => self.handle_report(from, report).await,
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -12,13 +12,13 @@
 use currantlink_platform::engine::EngineState;
 use currantlink_platform::names;
 use currantlink_platform::store::StoreClient;
-use currantlink_wire::peers::{Hello, Lead, peer_message};
+use currantlink_wire::peers::{Hello, Lead, Peer, peer_message};
 use indexmap::IndexSet;
 
 use super::{Agent, Event};
 use crate::backend_reader;
 use crate::clock::now_ms;
-use crate::group_leader::{GroupLeader, OrderTarget, PaceTarget};
+use crate::group_leader::{ChangePolicy, GroupLeader, OrderTarget, PaceTarget};
 use crate::known_maps::VersionedMap;
 use crate::orders;
 use crate::rank_client::RankClient;
@@ -34,10 +34,11 @@
 impl Agent {
     pub(super) async fn advance_change(&mut self) {
         let now = now_ms();
+        let policy = self.change_policy();
         let Some(group_leader) = &mut self.group_leader else {
             return;
         };
-        let orders = group_leader.advance(now, self.exit_at_ms.is_none());
+        let orders = group_leader.advance(now, policy);
         let own_link = self.settings.common.link_address();
         let group = self.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default();
         // Agents that are sent a map, by whether they know the map in use.
@@ -64,6 +65,35 @@
         self.send_maps(&group, &uninformed, None).await;
     }
 
+    fn change_policy(&mut self) -> ChangePolicy {
+        let is_evacuated = self.has_evacuated_rank();
+        if std::mem::replace(&mut self.has_evacuated_rank, is_evacuated) != is_evacuated {
+            log::info!(is_evacuated, evacuated_domains = self.evacuations.active().count();
+                "map changes of the group are suspended or resumed");
+        }
+        match self.exit_at_ms {
+            Some(_) => ChangePolicy::Abandon,
+            None if is_evacuated => ChangePolicy::Complete,
+            None => ChangePolicy::Start,
+        }
+    }
+
+    /// Returns whether a rank of the group that this agent leads is in an evacuated failure domain.
+    fn has_evacuated_rank(&self) -> bool {
+        let Some(group_leader) = &self.group_leader else {
+            return false;
+        };
+        if self.evacuations.active().next().is_none() {
+            return false;
+        }
+        let is_rank = |peer: &Peer| {
+            peer.backend_address.parse().is_ok_and(|backend| group_leader.has_backend(backend))
+        };
+        let mut agents = self.peers.group_agents().map(|(peer, _)| peer);
+        self.evacuations.is_active(&self.peers.own().failure_domain)
+            || agents.any(|p| self.evacuations.is_active(&p.failure_domain) && is_rank(p))
+    }
+
     /// Sends a map to agents, encoded as the difference to `base` if present.
     async fn send_maps(
         &self,
@@ -110,6 +140,9 @@
     pub(super) async fn tick(&mut self) {
         self.peers.send_hello(Hello::default).await;
         let now = now_ms();
+        for domain in self.evacuations.forget_unconfirmed(now) {
+            log::info!(failure_domain = domain.as_str(); "evacuation is no longer announced");
+        }
         let Some(rank) = self.rank.clone() else {
             return;
         };
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -219,6 +219,14 @@
                 }
             }
         };
+        // Connecting takes up to 400 ms.
+        if self.snapshot.load().evacuations.is_active(&member.announcement.failure_domain) {
+            log::info!(request = call.attempt_id.as_str(), backend = member.id.as_str(),
+                failure_domain = member.announcement.failure_domain.as_str();
+                "failure domain has been evacuated since the request was placed");
+            metrics::counter!("currantlink_evacuated_after_placement_total").increment(1);
+            return AttemptEnd::NoResponse(Outcome::NotConnected);
+        }
         if self.stated_limits.is_paused(key) {
             log::info!(request = call.attempt_id.as_str(), backend = member.id.as_str();
                 "backend has requested a pause since the request was placed");
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -69,7 +69,8 @@
         }
         match read {
             TopicRead::All(records) => {
-                let listing: Vec<(String, Observation)> = records.iter().map(decode).collect();
+                let listing: Vec<(String, Observation)> =
+                    records.iter().map(|(_, record)| decode(record)).collect();
                 self.entries = listing.iter().cloned().collect();
                 self.is_listed = true;
                 self.updates.send(Update::Backends(listing)).ok()?;
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::evacuation::{Evacuations, Reading};
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
@@ -32,6 +33,7 @@
 use crate::crash_ledger::{Audience, CrashLedger};
 use crate::deployment_settings::{self, GatewaySettings};
 use crate::error::DaemonError;
+use crate::evacuations::{self, Source};
 use crate::gateway_rates::SharedRates;
 use crate::ingress::{self, Phase};
 use crate::peers::Peers;
@@ -231,6 +233,7 @@
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         gateway.update_silent();
+        gateway.close_evacuated();
         gateway.explain_losses();
     }
 }
@@ -263,7 +266,7 @@
     let (gateway_counts, counts) = watch::channel(1);
     let (received_records, records) = mpsc::unbounded_channel();
     let outdated = Arc::clone(&config_outdated);
-    tokio::spawn(watcher::follow_config(store, updates.clone(), outdated, counts));
+    tokio::spawn(watcher::follow_operator(store, updates.clone(), outdated, counts));
     tokio::spawn(backend_follower::follow(store, updates.clone(), records));
     tokio::spawn(watcher::follow_peers(store, own, updates));
     let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: None };
@@ -333,6 +336,7 @@
     readers: Readers,
     snapshot: RoutingSnapshot,
     fleet: Fleet,
+    evacuations: Evacuations,
     leaving: VecDeque<(u64, Leaving)>,
     crashes_sent_at_ms: u64,
     /// Rank of this gateway among all gateways, by which they divide the room of a backend.
@@ -352,6 +356,7 @@
             readers,
             snapshot,
             fleet,
+            evacuations: Evacuations::default(),
             leaving,
             crashes_sent_at_ms: 0,
             division_rank: 0,
@@ -363,6 +368,10 @@
         let now = now_ms();
         let changed = match update {
             Update::Config(text) => self.apply_config(&text),
+            Update::Evacuations(reading) => {
+                self.apply_evacuations(reading).await;
+                false
+            }
             Update::StoreReconnected { at_ms } => {
                 self.fleet.store_recovered(at_ms);
                 false
@@ -416,6 +425,27 @@
         }
     }
 
+    /// Applies evacuations that were read from the store. Other gateways are told of a change at once:
+    /// they may be unable to reach the store.
+    async fn apply_evacuations(&mut self, reading: Reading) {
+        let changes = self.evacuations.apply_reading(reading, now_ms());
+        if changes.is_empty() {
+            return;
+        }
+        self.publish();
+        for change in changes {
+            evacuations::report(&change, Source::Store, &self.evacuations);
+            let mut domains = self.fleet.listed().map(|(_, m)| &m.announcement.failure_domain);
+            if change.is_active && !domains.any(|domain| domain == change.domain.as_str()) {
+                log::warn!(failure_domain = change.domain.as_str(), offset = change.offset,
+                    backends = self.fleet.listed().count();
+                    "no listed backend is in the evacuated failure domain");
+            }
+        }
+        self.peers.greet_gateways();
+        self.send_hello().await;
+    }
+
     async fn handle_message(&mut self, from: SocketAddr, message: PeerMessage) {
         match message.body {
             Some(peer_message::Body::Trials(trials)) => {
@@ -430,6 +460,9 @@
                     self.readers.notify_outdated(now_ms());
                 }
                 self.mark_leaving(&hello.leaving);
+                if evacuations::learn(&mut self.evacuations, hello.evacuations) {
+                    self.publish();
+                }
                 if let Some(peer) = hello.peer.filter(|peer| peer.role() == Role::Gateway) {
                     self.shared.rates.learn(&peer.name, hello.demands);
                 }
@@ -498,6 +531,12 @@
         while self.leaving.front().is_some_and(|(at, _)| at + LEAVING_ANNOUNCE_MS < now) {
             self.leaving.pop_front();
         }
+        self.send_hello().await;
+        self.send_crashes(now).await;
+        self.send_trials().await;
+    }
+
+    async fn send_hello(&mut self) {
         let config_version = self.config_version();
         let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
         let named_rates = || self.shared.stated_limits.announced(&self.fleet);
@@ -505,12 +544,11 @@
             config_version,
             leaving,
             named_rates: named_rates(),
+            evacuations: evacuations::announced(&self.evacuations),
             demands: self.shared.rates.announced(),
             ..Hello::default()
         };
         self.peers.send_hello(hello).await;
-        self.send_crashes(now).await;
-        self.send_trials().await;
     }
 
     /// Tells the gateways that grant trials what this one asks for.
@@ -565,6 +603,7 @@
             }
         }
         self.snapshot.fleet = Arc::new(self.fleet.clone());
+        self.snapshot.evacuations = Arc::new(self.evacuations.clone());
         self.shared.snapshot.store(Arc::new(self.snapshot.clone()));
     }
 }
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Which map changes a leader makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangePolicy {
+    /// Starts changes.
+    Start,
+    /// Completes a change in progress and starts none: a rank's failure domain is evacuated.
+    Complete,
+    /// Abandons a change that does not hold the group yet, and starts none: the process stops.
+    Abandon,
+}
+
 /// Destination of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderTarget {
@@ -252,11 +263,10 @@
         due_backends.collect()
     }
 
-    /// Advances the map change, or starts one if `may_start`; returns the orders to send. Otherwise a
-    /// change that does not hold the group yet is abandoned.
-    pub fn advance(&mut self, now_ms: u64, may_start: bool) -> Vec<(OrderTarget, Order)> {
+    /// Advances the map change, or starts one, as the policy says; returns the orders to send.
+    pub fn advance(&mut self, now_ms: u64, policy: ChangePolicy) -> Vec<(OrderTarget, Order)> {
         self.update_map_in_use();
-        if !may_start {
+        if policy == ChangePolicy::Abandon {
             self.switch.abandon_preparation(now_ms);
         }
         let mut orders = self.switch.advance(now_ms, &self.states);
@@ -265,7 +275,7 @@
             metrics::counter!("currantlink_map_changes_total", "outcome" => outcome.to_string())
                 .increment(1);
         }
-        if may_start && self.switch.is_ready(now_ms, &self.states) {
+        if policy == ChangePolicy::Start && self.switch.is_ready(now_ms, &self.states) {
             self.start_change(now_ms);
             orders.extend(self.switch.advance(now_ms, &self.states));
         }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod engine;
 pub mod entry;
 pub mod error;
+pub mod evacuations;
 pub mod gateway;
 pub mod gateway_rates;
 pub mod group_leader;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -109,7 +109,13 @@
         Some(own.into_iter().chain(others).map(|peer| peer.name.clone()).collect())
     }
 
-    /// Sends the hello messages that are due. Only gateways are sent the content of `hello`.
+    /// Makes hello messages to all gateways due.
+    pub fn greet_gateways(&mut self) {
+        self.membership.greet_gateways(now_ms());
+    }
+
+    /// Sends the hello messages that are due. Only gateways are sent the whole content of `hello`, and
+    /// agents the evacuations.
     pub async fn send_hello(&mut self, hello: impl FnOnce() -> Hello) {
         if self.keys.is_empty() {
             return;
@@ -120,7 +126,10 @@
         }
         let content = hello();
         for Greeting { address, role, receiver_incarnation, wants_response } in greetings {
-            let content = if role == Role::Gateway { content.clone() } else { Hello::default() };
+            let content = match role {
+                Role::Gateway => content.clone(),
+                _ => Hello { evacuations: content.evacuations.clone(), ..Hello::default() },
+            };
             let peer = Some(self.membership.own().clone());
             let group = self.membership.own_group().to_owned();
             let hello = Hello { peer, group, wants_response, receiver_incarnation, ..content };
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -28,6 +28,10 @@
     /// Whether backends were excluded because this process has reached its share of their connection
     /// limit.
     is_capped: bool,
+    /// Number of backends that were excluded because their failure domains are evacuated.
+    evacuated: usize,
+    /// Whether backends outside evacuated failure domains accept requests, to this process or others.
+    has_remaining: bool,
     /// Why a backend that takes a request again soonest was excluded, if one was excluded for a time.
     excluded: Option<Clearance>,
 }
@@ -97,7 +101,11 @@
         tried: &[FleetKey],
     ) -> Result<Placement, PlacementError> {
         let now = now_ms();
-        let CandidateSet { candidates, is_capped, excluded } = self.candidate_set(call, tried, now);
+        let set = self.candidate_set(call, tried, now);
+        if set.evacuated > 0 && !set.has_remaining {
+            return Err(PlacementError::Rejected(self.evacuated_rejection(call, set.evacuated)));
+        }
+        let CandidateSet { candidates, is_capped, excluded, .. } = set;
         let slots = candidates.first().map_or(1, |candidate| candidate.slots);
         let duration_ms = self.duration_ms(call, now);
         let service = &call.service().name;
@@ -231,14 +239,33 @@
         }
     }
 
+    /// Rejects a request whose backends are all in evacuated failure domains.
+    fn evacuated_rejection(&self, call: &Call, backends: usize) -> Rejection {
+        log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(), backends,
+            service = call.service().name.as_str();
+            "all backends are in evacuated failure domains");
+        self.not_run_rejection(call, NotRunReason::Evacuated)
+    }
+
     fn candidate_set(&self, call: &Call, tried: &[FleetKey], now: u64) -> CandidateSet {
         let snapshot = self.snapshot.load();
         let observations = self.observations.borrow();
         let settings = self.settings();
         let domain = settings.common.failure_domain();
         let cap = (call.service().max_connections / snapshot.gateway_count.max(1) as u32).max(1);
-        let mut set = CandidateSet { candidates: Vec::new(), is_capped: false, excluded: None };
+        let mut set = CandidateSet {
+            candidates: Vec::new(),
+            is_capped: false,
+            evacuated: 0,
+            has_remaining: false,
+            excluded: None,
+        };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
+            if snapshot.evacuations.is_active(&member.announcement.failure_domain) {
+                set.evacuated += 1;
+                continue;
+            }
+            set.has_remaining = true;
             if tried.contains(&key)
                 || observations.misdirected.contains(&key)
                 || observations.leaving.contains(&key)
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -70,6 +70,9 @@
     /// All backends that could run the request have requested pauses.
     #[display("paused")]
     Paused,
+    /// All backends that accept requests are in evacuated failure domains.
+    #[display("evacuated")]
+    Evacuated,
     /// No backend is listed for the service.
     #[display("no-backend")]
     NoBackend,
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -293,6 +293,18 @@
         self.stated_limits.retain(known);
     }
 
+    /// Closes the idle connections to backends in evacuated failure domains.
+    pub fn close_evacuated(&self) {
+        let snapshot = self.snapshot.load();
+        if snapshot.evacuations.active().next().is_none() {
+            return;
+        }
+        let is_evacuated =
+            |member: &Member| snapshot.evacuations.is_active(&member.announcement.failure_domain);
+        let evacuated = snapshot.fleet.listed().filter(|(_, member)| is_evacuated(member));
+        evacuated.for_each(|(key, _)| self.pool.close_idle(key));
+    }
+
     /// Determines which of the backends with an agent are silent.
     pub fn update_silent(&self) {
         let (now, snapshot) = (now_ms(), self.snapshot.load());
--- a/daemon/src/routing_snapshot.rs
+++ b/daemon/src/routing_snapshot.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use currantlink_core::evacuation::Evacuations;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::routes::RouteTable;
@@ -16,6 +17,8 @@
     pub table: Option<Arc<RouteTable>>,
     /// Known backends.
     pub fleet: Arc<Fleet>,
+    /// Evacuations of failure domains.
+    pub evacuations: Arc<Evacuations>,
     /// Number of gateways, including this one.
     pub gateway_count: usize,
 }
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::evacuation::Reading;
 use currantlink_core::fleet::Observation;
 use currantlink_core::shared_reads::{self, Reachability};
 use currantlink_platform::error::StoreError;
 use currantlink_platform::names;
+use currantlink_platform::operator::{self, OperatorRecord};
 use currantlink_platform::store::{self, KeyedRecord, Listing, StoreClient};
 use currantlink_wire::peers::{BackendRecords, Peer};
 use prost::Message;
@@ -19,6 +21,11 @@
 /// Timeout for a call to the store. A response usually takes a few milliseconds, and at most a few
 /// hundred.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout for a call after one that failed: the store may be slow. Together with a first call that
+/// fails, it leaves an evacuation time to take effect within 5 s, the bound of its operator.
+const SLOW_STORE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest long-poll wait of a call after one that failed.
+const SLOW_STORE_WAIT: Duration = Duration::from_millis(250);
 /// Long-poll wait of an agent that needs the figures of the engines.
 const ENGINE_FIGURES_WAIT: Duration = Duration::from_millis(1_000);
 /// Interval between an agent's reads of the configuration, of which it uses only the figures of the
@@ -42,6 +49,8 @@
 pub enum Update {
     /// An encoded configuration.
     Config(Bytes),
+    /// Evacuations of failure domains.
+    Evacuations(Reading),
     /// Full listing of the backends.
     Backends(Vec<(String, Observation)>),
     /// Changed backends.
@@ -68,20 +77,21 @@
     topic: &'static str,
     next_offset: Option<u64>,
     reachability: Reachability,
+    /// Timeout for the next call.
+    timeout: Duration,
 }
 
 pub(crate) enum TopicRead {
-    /// The newest record of each key.
-    All(Vec<KeyedRecord>),
+    /// The newest record of each key, with its offset.
+    All(Vec<(u64, KeyedRecord)>),
     /// New records, each with its offset.
     Changes(Vec<(u64, KeyedRecord)>),
 }
 
 impl TopicRead {
-    fn into_records(self) -> Vec<KeyedRecord> {
+    fn into_records(self) -> Vec<(u64, KeyedRecord)> {
         match self {
-            TopicRead::All(records) => records,
-            TopicRead::Changes(records) => records.into_iter().map(|(_, record)| record).collect(),
+            TopicRead::All(records) | TopicRead::Changes(records) => records,
         }
     }
 }
@@ -93,18 +103,19 @@
             topic,
             next_offset: None,
             reachability: Reachability::default(),
+            timeout: STORE_TIMEOUT,
         }
     }
 
     async fn next(&mut self, wait: Duration) -> Result<TopicRead, StoreError> {
         let Some(from) = self.next_offset else {
             let Listing { next_offset, records, pages } =
-                self.client.list_newest(self.topic, STORE_TIMEOUT).await?;
+                self.client.list_newest(self.topic, self.timeout).await?;
             log::info!(topic = self.topic, records = records.len(), pages; "topic listed");
             self.next_offset = Some(next_offset);
             return Ok(TopicRead::All(records));
         };
-        match self.client.read(self.topic, from, wait, STORE_TIMEOUT).await {
+        match self.client.read(self.topic, from, wait, self.timeout).await {
             Ok(batch) => {
                 self.next_offset = Some(batch.next_offset);
                 let decoded = (from..).zip(batch.records).filter_map(|(offset, record)| {
@@ -167,20 +178,24 @@
         }
     }
 
-    /// Reads until a call succeeds.
-    async fn next_with_retry(&mut self, wait: Duration) -> TopicRead {
+    /// Reads until a call succeeds. After a failed call, the store gets more time to respond, and the
+    /// calls wait less long for new records.
+    async fn next_with_retry(&mut self, mut wait: Duration) -> TopicRead {
         loop {
             if let Some((read, _)) = self.attempt(wait).await {
+                self.timeout = STORE_TIMEOUT;
                 return read;
             }
+            self.timeout = SLOW_STORE_TIMEOUT;
+            wait = wait.min(SLOW_STORE_WAIT);
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 }
 
-/// Follows the configuration until the receiver of updates is dropped. `outdated` is notified when a
-/// peer knows a newer configuration; `gateways` is the number of live gateways.
-pub async fn follow_config(
+/// Follows the operator's records until the receiver of updates is dropped. `outdated` is notified when
+/// a peer knows a newer configuration; `gateways` is the number of live gateways.
+pub async fn follow_operator(
     store: SocketAddr,
     updates: Updates,
     outdated: Arc<Notify>,
@@ -190,11 +205,11 @@
     loop {
         let wait = Duration::from_millis(shared_reads::poll_ms(*gateways.borrow()));
         let sent = tokio::select! {
-            sent = send_configs(&mut reader, &updates, wait) => sent,
+            sent = send_operator_records(&mut reader, &updates, wait) => sent,
             // The connection of the poll may have become silent. Dropping the call closes it.
             () = outdated.notified() => {
                 log::info!("a peer knows a newer configuration");
-                send_configs(&mut reader, &updates, Duration::ZERO).await
+                send_operator_records(&mut reader, &updates, Duration::ZERO).await
             }
         };
         match sent {
@@ -215,33 +230,54 @@
     let mut reader = TopicReader::new(store, names::OPERATOR_TOPIC);
     let mut has_config = false;
     while needed.wait_for(|needed| *needed).await.is_ok() {
-        let Some(sent) = send_configs(&mut reader, &updates, ENGINE_FIGURES_WAIT).await else {
+        let (configs, _) = read_operator_records(&mut reader, ENGINE_FIGURES_WAIT).await;
+        has_config |= !configs.is_empty();
+        if send_configs(configs, &updates).is_none() {
             return;
-        };
-        has_config |= sent > 0;
+        }
         if has_config {
             tokio::time::sleep(ENGINE_FIGURES_READ_INTERVAL).await;
         }
     }
 }
 
-/// Waits for new configurations and sends them. Returns their number, or `None` if the receiver is
-/// dropped.
-async fn send_configs(
+/// Waits for new records of the operator and sends them. Returns their number, or `None` if the
+/// receiver is dropped.
+async fn send_operator_records(
     reader: &mut TopicReader,
     updates: &Updates,
     wait: Duration,
 ) -> Option<usize> {
-    let records = reader.next_with_retry(wait).await.into_records();
-    let configs = records.into_iter().filter(|record| record.key == names::CONFIG_KEY);
-    let mut sent = 0;
-    for config in configs.filter_map(|record| record.value) {
-        updates.send(Update::Config(config)).ok()?;
-        sent += 1;
+    let (configs, evacuations) = read_operator_records(reader, wait).await;
+    let sent = configs.len() + evacuations.records.len();
+    // Requests are routed from the first configuration on, so the evacuations must be known by then.
+    if sent > 0 || evacuations.is_listing {
+        updates.send(Update::Evacuations(evacuations)).ok()?;
     }
+    send_configs(configs, updates)?;
     Some(sent)
 }
 
+fn send_configs(configs: Vec<Bytes>, updates: &Updates) -> Option<()> {
+    configs.into_iter().try_for_each(|config| updates.send(Update::Config(config)).ok())
+}
+
+/// Waits for new records of the operator. Returns the configurations and the evacuations.
+async fn read_operator_records(reader: &mut TopicReader, wait: Duration) -> (Vec<Bytes>, Reading) {
+    let read = reader.next_with_retry(wait).await;
+    let is_listing = matches!(read, TopicRead::All(_));
+    let (mut configs, mut records) = (Vec::new(), Vec::new());
+    for (offset, record) in read.into_records() {
+        match operator::decode(offset, record) {
+            OperatorRecord::Config(config) => configs.push(config),
+            OperatorRecord::Evacuation(record) => records.push(record),
+            OperatorRecord::Other => {}
+        }
+    }
+    let next_offset = reader.position().unwrap_or_default();
+    (configs, Reading { next_offset, is_listing, records })
+}
+
 /// Registers this process and lists its peers at intervals, until the receiver of updates is dropped.
 ///
 /// The peers are listed after the registration: of two processes that start together, the later one to
@@ -277,7 +313,7 @@
 /// `None` if the receiver is dropped.
 async fn send_peers(reader: &mut TopicReader, updates: &Updates) -> Option<bool> {
     let mut has_key = false;
-    for record in reader.next_with_retry(Duration::ZERO).await.into_records() {
+    for (_, record) in reader.next_with_retry(Duration::ZERO).await.into_records() {
         let Some(value) = record.value else {
             continue;
         };
--- /dev/null
+++ b/daemon/tests/evacuation.rs
@@ -0,0 +1,267 @@
+//! Evacuation of a failure domain: the operator's record takes effect at all gateways and is lifted
+//! again, with processes and links that fail in between.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use currantlink_platform::names;
+use currantlink_standins::backends::{Backend, Fault};
+use currantlink_standins::deployment::{
+    ClientRequest, Deployment, IDEMPOTENT, KEY, ONCE, RESUMABLE, Shape, send_request, wait_until,
+};
+use currantlink_standins::records::Health;
+use currantlink_standins::relay::Relay;
+use harness::status_code;
+use tempfile::TempDir;
+
+/// Time by which an evacuation takes effect, as stated to the operator.
+const LIMIT: Duration = Duration::from_millis(5_000);
+/// Number of requests by which two backends are told apart from one.
+const REQUESTS: usize = 30;
+
+/// Returns a deployment whose backends are in two zones. Gateways are in a third one, since they prefer
+/// the backends of their own.
+fn two_zones(gateways: usize) -> Shape {
+    Shape { gateways, plain_backends: 2, zones: &["b", "c"], ..Shape::default() }
+}
+
+async fn start(shape: Shape) -> (Deployment, TempDir) {
+    let (deployment, directory) = harness::start_serving(shape).await;
+    for gateway in 0..deployment.gateways.len() {
+        wait_until_reached(&deployment, gateway).await;
+    }
+    (deployment, directory)
+}
+
+/// Returns the plain backend in zone "c".
+fn backend_in_c(deployment: &Deployment) -> &Backend {
+    &deployment.plain_backends[1]
+}
+
+/// Waits until a gateway sends requests to the backend in zone "c".
+async fn wait_until_reached(deployment: &Deployment, gateway: usize) {
+    let backend = backend_in_c(deployment);
+    let is_reached = || async {
+        let before = backend.arrivals();
+        status_code(deployment, gateway, KEY).await;
+        backend.arrivals() > before
+    };
+    wait_until(is_reached).await;
+}
+
+/// Returns the number of lines of a gateway's log, of all its runs, that contain all `parts`.
+fn count_lines(deployment: &Deployment, gateway: usize, parts: &[&str]) -> usize {
+    let log = std::fs::read_to_string(deployment.gateways[gateway].process.log_path()).unwrap();
+    log.lines().filter(|line| parts.iter().all(|part| line.contains(part))).count()
+}
+
+/// Waits until more than `skipped` lines of a gateway's log contain all `parts`.
+async fn wait_for_line(deployment: &Deployment, gateway: usize, skipped: usize, parts: &[&str]) {
+    wait_until(|| async { count_lines(deployment, gateway, parts) > skipped }).await;
+}
+
+/// Sends requests to a gateway, all of which must succeed without reaching zone "c".
+async fn assert_avoided(deployment: &Deployment, gateway: usize) {
+    let before = backend_in_c(deployment).arrivals();
+    for _ in 0..REQUESTS {
+        assert_eq!(status_code(deployment, gateway, KEY).await, 200);
+    }
+    assert_eq!(backend_in_c(deployment).arrivals(), before, "gateway {gateway}");
+}
+
+/// Guards against an evacuation that takes effect late, at some gateways only, or forever.
+#[tokio::test]
+async fn evacuated_and_returned() {
+    let (deployment, _directory) = start(two_zones(3)).await;
+    deployment.evacuate("c");
+    tokio::time::sleep(LIMIT / 10).await;
+    for gateway in 0..3 {
+        assert_avoided(&deployment, gateway).await;
+    }
+    deployment.lift_evacuation("c");
+    for gateway in 0..3 {
+        wait_until_reached(&deployment, gateway).await;
+    }
+}
+
+/// Guards against requests that are waiting or retried when the evacuation begins, and against cutting
+/// off those that run in the domain.
+#[tokio::test]
+async fn running_stream() {
+    let shape = Shape { ranks: 2, events: 5, ..two_zones(1) };
+    let (deployment, _directory) = harness::start_streaming(shape).await;
+    let stalled = &deployment.model_backends[1];
+    // Callers wait for 960 ms for an event.
+    stalled.queue_faults([Fault::Stall(Duration::from_millis(800))]);
+    let gateway = deployment.gateways[0].callers;
+    let stream = |id: String| {
+        let request = ClientRequest::new("POST", RESUMABLE, &id);
+        tokio::spawn(async move { send_request(gateway, &request).await })
+    };
+    let before = stalled.arrivals();
+    let mut streams = Vec::new();
+    while stalled.arrivals() == before {
+        streams.push(stream(format!("before-{}", streams.len())));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    deployment.evacuate("c");
+    wait_for_line(&deployment, 0, 0, &["failure domain evacuated"]).await;
+    assert!(streams.iter().any(|stream| !stream.is_finished()), "no stream is running");
+    let before = stalled.arrivals();
+    for index in 0..4 {
+        let response = stream(format!("after-{index}")).await.unwrap();
+        assert_eq!(response.code(), 200, "{}", response.text());
+    }
+    for stream in streams {
+        let response = stream.await.unwrap();
+        assert_eq!((response.code(), response.is_complete), (200, true), "{}", response.text());
+    }
+    assert_eq!(stalled.arrivals(), before);
+}
+
+/// Restarts a gateway with a relay to the store.
+async fn relay_store(deployment: &mut Deployment, gateway: usize) -> Relay {
+    let relay = Relay::new(deployment.store);
+    let relayed = relay.serve("127.0.0.1:0".parse().unwrap()).await.unwrap().to_string();
+    let store = deployment.store.to_string();
+    let process = &mut deployment.gateways[gateway].process;
+    let text = std::fs::read_to_string(&process.settings).unwrap().replace(&store, &relayed);
+    std::fs::write(&process.settings, text).unwrap();
+    process.kill();
+    process.start().unwrap();
+    wait_until(|| async { status_code(deployment, gateway, KEY).await == 200 }).await;
+    wait_until_reached(deployment, gateway).await;
+    relay
+}
+
+/// Guards against a gateway that ignores the operator because it cannot reach the store.
+#[tokio::test]
+async fn cut_off_from_store() {
+    let (mut deployment, _directory) = start(two_zones(2)).await;
+    let peers = [(0, ["peer discovered", "gateway-1"]), (1, ["peer discovered", "gateway-0"])];
+    let known = peers.map(|(gateway, parts)| count_lines(&deployment, gateway, &parts));
+    let relay = relay_store(&mut deployment, 1).await;
+    for ((gateway, parts), known) in peers.into_iter().zip(known) {
+        wait_for_line(&deployment, gateway, known, &parts).await;
+    }
+    relay.close();
+    tokio::time::sleep(LIMIT / 10).await;
+    deployment.evacuate("c");
+    tokio::time::sleep(LIMIT / 10).await;
+    assert_avoided(&deployment, 1).await;
+    wait_for_line(&deployment, 1, 0, &["failure domain evacuated", "peer"]).await;
+    deployment.lift_evacuation("c");
+    wait_until_reached(&deployment, 1).await;
+    relay.reopen();
+}
+
+/// Guards against a gateway that has forgotten the evacuation when it serves its first request, and
+/// against one that forgets it while the store does not respond.
+#[tokio::test]
+async fn restarted_gateway() {
+    let (mut deployment, _directory) = start(two_zones(2)).await;
+    deployment.evacuate("c");
+    tokio::time::sleep(LIMIT / 10).await;
+    // The record is no longer retained and only listed.
+    deployment.records.truncate();
+    let before = backend_in_c(&deployment).arrivals();
+    deployment.gateways[0].process.kill();
+    deployment.gateways[0].process.start().unwrap();
+    wait_until(|| async { status_code(&deployment, 0, KEY).await == 200 }).await;
+    assert_avoided(&deployment, 0).await;
+    for health in [Health::Silent, Health::Busy] {
+        deployment.records.set_health(health);
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_avoided(&deployment, 0).await;
+        assert_avoided(&deployment, 1).await;
+    }
+    assert_eq!(backend_in_c(&deployment).arrivals(), before);
+    deployment.records.set_health(Health::Up);
+    deployment.lift_evacuation("c");
+    wait_until_reached(&deployment, 0).await;
+    wait_until_reached(&deployment, 1).await;
+}
+
+/// Guards against a store whose responses take longer than the usual timeout.
+#[tokio::test]
+async fn slow_store() {
+    let (deployment, _directory) = start(two_zones(2)).await;
+    deployment.records.set_delay(Duration::from_millis(2_200));
+    tokio::time::sleep(LIMIT).await;
+    deployment.evacuate("c");
+    tokio::time::sleep(LIMIT).await;
+    assert_avoided(&deployment, 0).await;
+    assert_avoided(&deployment, 1).await;
+}
+
+/// Guards against requests that are sent to an evacuated domain, or wait, for lack of other backends.
+#[tokio::test]
+async fn all_evacuated() {
+    let (deployment, _directory) = start(two_zones(1)).await;
+    deployment.evacuate("b");
+    deployment.evacuate("c");
+    tokio::time::sleep(LIMIT / 10).await;
+    let arrivals = || deployment.plain_backends.iter().map(Backend::arrivals).sum::<u64>();
+    let before = arrivals();
+    for (index, (method, path)) in [("POST", ONCE), ("GET", IDEMPOTENT)].into_iter().enumerate() {
+        let sent_at = Instant::now();
+        let response = deployment.send_request(method, path, &format!("r-{index}")).await;
+        assert_eq!(response.code(), 503);
+        assert!(response.text().contains("evacuated"), "{}", response.text());
+        let retry_after_s: f64 = response.header("retry-after").unwrap().parse().unwrap();
+        assert!(retry_after_s > 0.0);
+        assert!(sent_at.elapsed() < Duration::from_secs(1), "{:?}", sent_at.elapsed());
+    }
+    assert_eq!(arrivals(), before);
+    deployment.lift_evacuation("b");
+    wait_until(|| async { status_code(&deployment, 0, KEY).await == 200 }).await;
+}
+
+/// Guards against a record that cannot be read and has an effect, in each state.
+#[tokio::test]
+async fn malformed_records() {
+    let (mut deployment, _directory) = start(two_zones(1)).await;
+    for value in [&b"[]"[..], b"{", b"\xff"] {
+        deployment.put_evacuation("c", value);
+    }
+    deployment.put_evacuation("", b"{}");
+    deployment.evacuate("nowhere");
+    deployment.records.put(names::OPERATOR_TOPIC, "unrelated", b"7");
+    wait_for_line(&deployment, 0, 3, &["evacuation record rejected"]).await;
+    wait_for_line(&deployment, 0, 0, &["no listed backend is in the evacuated", "nowhere"]).await;
+    wait_until_reached(&deployment, 0).await;
+    deployment.gateways[0].process.kill();
+    deployment.gateways[0].process.start().unwrap();
+    wait_until(|| async { status_code(&deployment, 0, KEY).await == 200 }).await;
+    wait_until_reached(&deployment, 0).await;
+    deployment.evacuate("c");
+    deployment.put_evacuation("c", b"null");
+    tokio::time::sleep(LIMIT / 10).await;
+    assert_avoided(&deployment, 0).await;
+}
+
+/// Guards against agents that are not told: the leader of a group suspends its map changes.
+#[tokio::test]
+async fn agents_follow() {
+    let shape = Shape { ranks: 2, ..two_zones(1) };
+    let (deployment, _directory) = harness::start_streaming(shape).await;
+    let suspended = |is_evacuated: bool| {
+        let logs: Vec<_> = deployment.agents.iter().map(|agent| agent.log_path()).collect();
+        let parts =
+            [format!("is_evacuated={is_evacuated}"), String::from("map changes of the group")];
+        move || {
+            let found = logs.iter().any(|log| {
+                let text = std::fs::read_to_string(log).unwrap();
+                text.lines().any(|line| parts.iter().all(|part| line.contains(part)))
+            });
+            std::future::ready(found)
+        }
+    };
+    deployment.evacuate("c");
+    wait_until(suspended(true)).await;
+    deployment.lift_evacuation("c");
+    wait_until(suspended(false)).await;
+}
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -7,7 +7,9 @@
 
 use currantlink_core::routes::{EngineProfile, ExpertProfile};
 use currantlink_core::switch::{Action, Order, RankState};
-use currantlink_daemon::group_leader::{GroupLeader, OrderTarget, PaceTarget, Report};
+use currantlink_daemon::group_leader::{
+    ChangePolicy, GroupLeader, OrderTarget, PaceTarget, Report,
+};
 
 const RANKS: u32 = 2;
 const PROFILE: ExpertProfile = ExpertProfile {
@@ -46,6 +48,7 @@
     leader: GroupLeader,
     ranks: Vec<RankState>,
     now_ms: u64,
+    policy: ChangePolicy,
 }
 
 impl Group {
@@ -59,7 +62,12 @@
             is_open: true,
             ..RankState::default()
         };
-        Self { leader, ranks: (0..RANKS).map(rank).collect(), now_ms: 0 }
+        Self {
+            leader,
+            ranks: (0..RANKS).map(rank).collect(),
+            now_ms: 0,
+            policy: ChangePolicy::Start,
+        }
     }
 
     /// Reports the state of all ranks; also their experts if `choices` is not empty.
@@ -85,7 +93,7 @@
     /// Advances the leader and executes its orders; returns the version of a map to prepare.
     fn advance(&mut self) -> Option<u64> {
         let mut prepared = None;
-        for (target, Order { action, .. }) in self.leader.advance(self.now_ms, true) {
+        for (target, Order { action, .. }) in self.leader.advance(self.now_ms, self.policy) {
             let is_target = |rank: &&mut RankState| match target {
                 OrderTarget::Agent { address: to, .. } => to == address(rank.rank),
                 OrderTarget::Backend(to) => to == address(100 + rank.rank),
@@ -135,3 +143,26 @@
     let next = group.advance();
     assert!(next.is_some_and(|next| next > first), "{next:?} after {first}");
 }
+
+/// Guards against a change of the expert map that begins while a rank's failure domain is evacuated, and
+/// against one that is left half-way when the evacuation begins.
+#[test]
+fn evacuated_rank() {
+    let mut group = Group::new();
+    group.policy = ChangePolicy::Complete;
+    group.report(&[20_000, 1_000, 1_000, 1_000]);
+    for _ in 0..40 {
+        assert_eq!(group.advance(), None);
+        group.report(&[]);
+    }
+    group.policy = ChangePolicy::Start;
+    group.report(&[20_000, 1_000, 1_000, 1_000]);
+    let first = group.advance().unwrap();
+    group.policy = ChangePolicy::Complete;
+    for _ in 0..40 {
+        group.report(&[]);
+        group.advance();
+    }
+    assert_eq!(group.ranks[0].map_version, first);
+    assert!(!group.leader.is_changing());
+}
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -46,6 +46,7 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const DEADLINE_MS: u64 = 8_000;
 const DEFAULT_GRACE_S: u64 = 3;
+const DEFAULT_ZONE: &str = "a";
 
 /// Size of a deployment.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +63,14 @@
     pub events: u64,
     /// Time from SIGTERM until a process must have exited.
     pub grace_s: u64,
+    /// Zones of the plain backends, and of the ranks with their agents, in turn.
+    pub zones: &'static [&'static str],
+}
+
+impl Shape {
+    fn zone(&self, index: usize) -> &'static str {
+        self.zones.get(index % self.zones.len().max(1)).copied().unwrap_or(DEFAULT_ZONE)
+    }
 }
 
 impl Default for Shape {
@@ -73,6 +82,7 @@
             slots: None,
             events: 5,
             grace_s: DEFAULT_GRACE_S,
+            zones: &[DEFAULT_ZONE],
         }
     }
 }
@@ -224,7 +234,7 @@
             let id = format!("plain-{index}");
             let backend = Backend::plain(&id);
             let address = backend.serve(LOOPBACK).await?;
-            deployment.keep_registered(&backend, "plain", address);
+            deployment.keep_registered(&backend, "plain", address, shape.zone(index));
             deployment.plain_backends.push(backend);
         }
         for rank in 0..shape.ranks as usize {
@@ -244,11 +254,12 @@
         let mut backend = Backend::model(&id, group, rank, shape.events);
         shape.slots.into_iter().for_each(|slots| backend.limit_slots(slots));
         let address = backend.serve(LOOPBACK).await?;
-        self.keep_registered(&backend, "model", address);
+        let zone = shape.zone(rank);
+        self.keep_registered(&backend, "model", address, zone);
         self.model_backends.push(backend);
         let name = format!("agent-{rank}");
-        let settings =
-            self.write_settings(&name, json!({ "backend_address": address.to_string() }))?;
+        let settings = json!({ "backend_address": address.to_string(), "failure_domain": zone });
+        let settings = self.write_settings(&name, settings)?;
         let mut process = self.new_process("agent", settings);
         process.start()?;
         self.agents.push(process);
@@ -295,7 +306,7 @@
 
     /// Writes the registration record of a backend, as the backend would.
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        let record = backend_record(service, address, state, 1);
+        let record = backend_record(service, address, state, 1, DEFAULT_ZONE);
         self.records.put(names::BACKENDS_TOPIC, id, &record);
     }
 
@@ -305,14 +316,21 @@
     }
 
     /// Writes the registration record of a backend now and after each of its restarts.
-    fn keep_registered(&self, backend: &Backend, service: &'static str, address: SocketAddr) {
-        self.register(&backend.id(), service, address, "ready");
+    fn keep_registered(
+        &self,
+        backend: &Backend,
+        service: &'static str,
+        address: SocketAddr,
+        zone: &'static str,
+    ) {
+        let record = backend_record(service, address, "ready", 1, zone);
+        self.records.put(names::BACKENDS_TOPIC, &backend.id(), &record);
         let (backend, records, mut restarts) =
             (backend.clone(), self.records.clone(), backend.restarts());
         tokio::spawn(async move {
             while restarts.changed().await.is_ok() {
                 let born_ms = u64::from(*restarts.borrow()) + 1;
-                let record = backend_record(service, address, "ready", born_ms);
+                let record = backend_record(service, address, "ready", born_ms, zone);
                 records.put(names::BACKENDS_TOPIC, &backend.id(), &record);
             }
         });
@@ -323,6 +341,22 @@
         self.put_config(&config(version, keys).to_string());
     }
 
+    /// Evacuates a zone, as an operator would.
+    pub fn evacuate(&self, zone: &str) {
+        self.put_evacuation(zone, b"{}");
+    }
+
+    /// Lifts the evacuation of a zone, as an operator would.
+    pub fn lift_evacuation(&self, zone: &str) {
+        self.put_evacuation(zone, b"");
+    }
+
+    /// Writes arbitrary bytes as the evacuation record of a zone.
+    pub fn put_evacuation(&self, zone: &str, value: &[u8]) {
+        let key = format!("{}{zone}", names::EVACUATION_KEY_PREFIX);
+        self.records.put(names::OPERATOR_TOPIC, &key, value);
+    }
+
     /// Writes arbitrary text as the configuration.
     pub fn put_config(&self, text: &str) {
         self.records.put(names::OPERATOR_TOPIC, names::CONFIG_KEY, text.as_bytes());
@@ -343,9 +377,15 @@
     }
 }
 
-fn backend_record(service: &str, address: SocketAddr, state: &str, born_ms: u64) -> Vec<u8> {
+fn backend_record(
+    service: &str,
+    address: SocketAddr,
+    state: &str,
+    born_ms: u64,
+    zone: &str,
+) -> Vec<u8> {
     let record = json!({
-        "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
+        "service": service, "address": address.to_string(), "zone": zone, "version": "v1",
         "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": born_ms,
     });
     record.to_string().into_bytes()
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,10 +20,12 @@
     Cut,
 }
 
-/// TCP relay. Faults apply to the connections that are open; new connections are forwarded.
+/// TCP relay. Faults apply to the connections that are open; new connections are forwarded, unless the
+/// relay is closed.
 #[derive(Clone)]
 pub struct Relay {
     target: SocketAddr,
+    is_closed: Arc<AtomicBool>,
     mode: Arc<Mutex<watch::Sender<Mode>>>,
 }
 
@@ -30,7 +33,7 @@
     /// Creates a relay to `target`.
     pub fn new(target: SocketAddr) -> Self {
         let mode = Arc::new(Mutex::new(watch::Sender::new(Mode::Forward)));
-        Self { target, mode }
+        Self { target, is_closed: Arc::default(), mode }
     }
 
     /// Listens on `address` and returns the bound address.
@@ -44,6 +47,9 @@
         let relay = self.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if relay.is_closed.load(Ordering::Relaxed) {
+                    continue;
+                }
                 let mode = relay.subscribe();
                 tokio::spawn(forward(stream, relay.target, mode));
             }
@@ -61,6 +67,17 @@
         self.replace(Mode::Cut);
     }
 
+    /// Closes the open connections, and all new ones at once.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        self.cut();
+    }
+
+    /// Forwards new connections again.
+    pub fn reopen(&self) {
+        self.is_closed.store(false, Ordering::Relaxed);
+    }
+
     fn subscribe(&self) -> watch::Receiver<Mode> {
         self.mode.lock().unwrap_or_else(PoisonError::into_inner).subscribe()
     }
