Bound the requests to a cold backend over all gateways

A backend that came back cold got 45 requests in one second, 44 allowed: it looked empty to all gateways at once, and nothing read the cold time in its record.

The platform's decoders now read cold_remaining_ms, X-Cold-Ms, cold_start_s and cold_per_s. core/cold.rs decides which backends count as cold, core/rate_lanes.rs divides their rate into lanes with one owner at most, by claims that gateways announce in hello messages (new field Demand.claim_per_s), and core/rate_limit.rs and the daemon's stated limits enforce it when a request is placed.

Ruled out: equal parts among hashed senders (idle with uneven callers, parts overlap while views differ); parts in proportion to the announced rates (their sum exceeds the rate while views differ).

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -32,6 +32,8 @@
     pub draining: bool,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// Time for which the backend remains cold, as of its record, if the record says so.
+    pub cold_remaining_ms: Option<u64>,
 }
 
 /// New state of one list entry.
@@ -45,6 +47,18 @@
     Dropped,
 }
 
+impl Observation {
+    /// Returns whether the entry says that the backend is cold.
+    pub fn is_cold(&self) -> bool {
+        match self {
+            Observation::Present(announcement) => {
+                announcement.cold_remaining_ms.is_some_and(|remaining_ms| remaining_ms > 0)
+            }
+            Observation::Unusable | Observation::Dropped => false,
+        }
+    }
+}
+
 /// A backend of the fleet.
 #[derive(Clone, Debug)]
 pub struct Member {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arrivals;
 pub mod attempt;
 pub mod budget;
+pub mod cold;
 pub mod concurrency;
 pub mod config;
 pub mod coordinator;
@@ -37,6 +38,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod queue;
+pub mod rate_lanes;
 pub mod rate_limit;
 pub mod reader;
 pub mod rebalance;
--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -5,6 +5,9 @@
 //! unused part is not saved up beyond one request, so the requests of all in some seconds exceed the
 //! rate by one request a gateway at most; the number of gateways that send is bounded for this. What
 //! a backend said last is told to other gateways with its age.
+//!
+//! The rate of a cold backend holds for every second and at any view that gateways have of each other, so
+//! it is divided more strictly, by lanes. See [`crate::rate_lanes`].
 
 use std::hash::Hash;
 
@@ -12,6 +15,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::rate_lanes::{Competitors, LanePlan, Lanes};
 use crate::share::ASSUMED_GATEWAYS;
 
 const MILLI_PER_UNIT: f64 = 1_000.0;
@@ -23,6 +27,9 @@
 const MIN_RATE_PER_S: f64 = 0.25;
 /// Requests that a part of a rate saves up.
 const MAX_TOKENS: f64 = 1.0;
+/// Time after which a request may be sent to a cold backend by another gateway, or by this one if shares
+/// have changed. All lanes send within it at rates of a few requests per second.
+const REFERRAL_WAIT_MS: u64 = 1_000;
 /// Time for which other gateways are told of a lifted limit.
 const LIFTED_ANNOUNCE_MS: u64 = 10_000;
 
@@ -99,6 +106,8 @@
     /// Names of all gateways, or `None` while they are unknown.
     gateways: Option<Vec<String>>,
     backends: IndexMap<K, BackendLimit>,
+    /// Lanes of the cold backends.
+    cold: IndexMap<K, Lanes>,
 }
 
 #[derive(Clone, Debug)]
@@ -118,7 +127,12 @@
 impl<K: Copy + Eq + Hash> RateLimits<K> {
     /// Creates the limits of the gateway `own_name`; no backend has a limit.
     pub fn new(own_name: &str) -> Self {
-        Self { own_name: own_name.to_owned(), gateways: None, backends: IndexMap::new() }
+        Self {
+            own_name: own_name.to_owned(),
+            gateways: None,
+            backends: IndexMap::new(),
+            cold: IndexMap::new(),
+        }
     }
 
     /// Replaces the names of the gateways, this one included, and divides all limits anew.
@@ -216,12 +230,59 @@
         }
     }
 
-    /// Counts a request that is sent to a backend.
-    pub fn record_request(&mut self, key: K, now_ms: u64) {
+    /// Divides the rate of a cold backend among gateways. To be called again at intervals, since a division
+    /// is valid for a short time only.
+    pub fn divide_cold(
+        &mut self,
+        key: K,
+        id: &str,
+        plan: LanePlan,
+        competitors: &Competitors,
+        now_ms: u64,
+    ) {
+        let lanes = self.cold.entry(key).or_insert_with(|| Lanes::new(id, plan));
+        if lanes.plan() != plan {
+            *lanes = Lanes::new(id, plan);
+        }
+        lanes.divide(competitors, now_ms);
+    }
+
+    /// Removes the limits of cold backends for which `is_cold` returns false.
+    pub fn retain_cold(&mut self, is_cold: impl Fn(K) -> bool) {
+        self.cold.retain(|&key, _| is_cold(key));
+    }
+
+    /// Returns whether a request may be sent to a backend by its limit while it is cold.
+    pub fn cold_permit(&self, key: K, now_ms: u64) -> Permit {
+        match self.cold.get(&key).map(|lanes| lanes.wait_ms(now_ms)) {
+            None | Some(Some(0)) => Permit::Now,
+            Some(Some(wait_ms)) => Permit::After { wait_ms },
+            Some(None) => Permit::After { wait_ms: REFERRAL_WAIT_MS },
+        }
+    }
+
+    /// Returns whether a backend is limited as a cold one.
+    pub fn has_cold(&self, key: K) -> bool {
+        self.cold.contains_key(&key)
+    }
+
+    /// Returns the number of lanes of cold backends that this gateway owns.
+    pub fn cold_lanes_owned(&self) -> usize {
+        self.cold.values().map(Lanes::owned).sum()
+    }
+
+    /// Counts a request that is sent to a backend. Returns whether the backend is limited as a cold one.
+    pub fn record_request(&mut self, key: K, now_ms: u64) -> bool {
+        let cold = self.cold.get_mut(&key);
+        let is_cold = cold.is_some();
+        if let Some(lanes) = cold {
+            lanes.record_request(now_ms);
+        }
         if let Some(backend) = self.backends.get_mut(&key) {
             backend.refill(now_ms);
             backend.tokens = (backend.tokens - 1.0).max(0.0);
         }
+        is_cold
     }
 
     /// Returns the sightings that other gateways are told, with keys and ages.
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -130,6 +130,17 @@
     pub max_connections: u32,
     /// Performance of the engines, if the service runs models.
     pub engine: Option<EngineProfile>,
+    /// How a backend behaves after its start, if it has a cold phase.
+    pub cold_phase: Option<ColdPhase>,
+}
+
+/// The time after a start in which a backend tolerates few requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdPhase {
+    /// How long a backend is cold after a start.
+    pub start_ms: u64,
+    /// Requests per second that a cold backend tolerates.
+    pub per_s: f64,
 }
 
 /// A workspace and its API keys.
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -10,6 +10,7 @@
         failure_domain: "a".into(),
         draining: false,
         slots: 4,
+        cold_remaining_ms: None,
     }
 }
 
--- a/core/tests/route_table.rs
+++ b/core/tests/route_table.rs
@@ -22,7 +22,12 @@
 
 fn table() -> RouteTable {
     let routes = vec![route("short", "/a/", false), route("long", "/a/b/", true)];
-    let pool = |name: &str| Pool { name: name.into(), max_connections: 10, engine: None };
+    let pool = |name: &str| Pool {
+        name: name.into(),
+        max_connections: 10,
+        engine: None,
+        cold_phase: None,
+    };
     let workspace =
         WorkspaceKeys { name: "one".into(), priority: Some(0), keys: vec!["k1".into()] };
     let limits = CallerLimits::default();
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -260,6 +260,9 @@
         self.pool.record_heard(key, now_ms());
         self.record_rate(key, &member.id, &metadata, sent_at_ms);
         self.record_pause(key, &metadata, sent_at_ms);
+        if metadata.status != http::StatusCode::MISDIRECTED_REQUEST {
+            self.stated_limits.record_heard(key, metadata.cold_remaining_ms, sent_at_ms);
+        }
         // Another backend at the address speaks for itself only.
         if metadata.leaving && metadata.status != http::StatusCode::MISDIRECTED_REQUEST {
             self.record_leaving(key, member);
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -125,7 +125,8 @@
         let (mut changes, mut changed) = (Vec::new(), Vec::new());
         for (offset, record) in records {
             let (key, observation) = decode(&record);
-            if self.entries.get(&key) == Some(&observation) {
+            // A backend that is cold still must be known to be so, even if its record says the same.
+            if self.entries.get(&key) == Some(&observation) && !observation.is_cold() {
                 continue;
             }
             match observation {
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -320,6 +320,7 @@
         if error.kind() == io::ErrorKind::ConnectionRefused {
             let until_ms = now_ms() + REFUSED_PAUSE_MS;
             self.observations.borrow_mut().refused_until_ms.insert(key, until_ms);
+            self.stated_limits.record_absent(key);
         }
     }
 
--- a/daemon/src/deployment_settings.rs
+++ b/daemon/src/deployment_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use currantlink_core::fanout::LinkRate;
+use currantlink_core::rate_lanes::RateMargin;
 use currantlink_core::share::RetryBudgetLimits;
 use currantlink_wire::settings::DeployedSettings;
 
@@ -13,6 +14,9 @@
 const MS_PER_S: f64 = 1_000.0;
 const BYTES_PER_MS_PER_MBPS: f64 = 125.0;
 const MAX_GRACE_S: f64 = 86_400.0;
+/// Factor by which the requests of a cold backend may exceed its rate if the platform states none. With no
+/// requests in addition, it is the lower one of the bounds that the platform uses.
+const DEFAULT_COLD_OVERAGE: f64 = 1.5;
 
 /// Validated settings that the gateway and agent roles share.
 #[derive(Clone, Debug)]
@@ -87,6 +91,15 @@
         }
     }
 
+    /// Returns by how much the requests of one second may exceed the rate of a cold backend.
+    pub fn cold_margin(&self) -> RateMargin {
+        let overage = match self.raw.cold_overage {
+            0.0 => DEFAULT_COLD_OVERAGE,
+            overage => overage,
+        };
+        RateMargin { overage, slack: self.raw.cold_slack }
+    }
+
     fn check(raw: DeployedSettings, checker: &Checker<'_>) -> Result<Self, SettingsError> {
         checker.name("name", &raw.name)?;
         let store_address = checker.address("store_address", &raw.store_address)?;
@@ -108,6 +121,8 @@
             ("retry_slack", raw.retry_slack),
             ("retry_window_s", raw.retry_window_s),
             ("link_mbps", raw.link_mbps),
+            ("cold_overage", raw.cold_overage),
+            ("cold_slack", raw.cold_slack),
         ];
         for (field, value) in numbers {
             if !value.is_finite() || value < 0.0 {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::cold::ReturnDetector;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
 use currantlink_core::stop::{Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{
-    BackendRecords, Crashes, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
+    BackendRecords, Crashes, Demand, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
@@ -91,7 +92,8 @@
     let metrics = telemetry::install_metrics()?;
     let snapshot: SharedSnapshot = Arc::default();
     let load_reports = Arc::<LoadReports>::default();
-    let stated_limits = Arc::new(StatedLimits::new(settings.common.name()));
+    let stated_limits =
+        Arc::new(StatedLimits::new(settings.common.name(), settings.common.cold_margin()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
     let (trials, rates) = (Arc::default(), Arc::default());
     let (leaving, left) = mpsc::unbounded_channel();
@@ -339,6 +341,7 @@
     division_rank: u64,
     /// Addresses of gateways that have not been told of earlier crashes.
     untold: Vec<SocketAddr>,
+    returns: ReturnDetector,
 }
 
 impl Control {
@@ -356,6 +359,7 @@
             crashes_sent_at_ms: 0,
             division_rank: 0,
             untold: Vec::new(),
+            returns: ReturnDetector::default(),
         }
     }
 
@@ -367,12 +371,19 @@
                 self.fleet.store_recovered(at_ms);
                 false
             }
-            Update::Backends(listing) => self.fleet.replace(listing, now),
+            Update::Backends(listing) => {
+                let ids: Vec<String> = listing.iter().map(|(id, _)| id.clone()).collect();
+                let changed = self.fleet.replace(listing, now);
+                self.record_listed(&ids);
+                changed
+            }
             Update::BackendChanges(changes) => {
-                let mut changed = false;
+                let (mut changed, mut ids) = (false, Vec::new());
                 for (id, observation) in changes {
                     changed |= self.fleet.observe(&id, observation, now);
+                    ids.push(id);
                 }
+                self.record_listed(&ids);
                 changed
             }
             Update::PassOn(records) => {
@@ -395,6 +406,12 @@
         }
     }
 
+    /// Records which backends may be cold, before requests can be sent to them.
+    fn record_listed(&self, ids: &[String]) {
+        let ids = ids.iter().map(String::as_str);
+        self.shared.stated_limits.record_listed(&self.fleet, ids);
+    }
+
     /// Returns the version of the configuration in force, or 0 if there is none.
     fn config_version(&self) -> u64 {
         self.snapshot.table.as_ref().map_or(0, |table| table.version())
@@ -406,6 +423,7 @@
             Ok(table) if known.is_some_and(|known| table.version() <= known) => false,
             Ok(table) => {
                 log::info!(version = table.version(), before = known; "configuration applied");
+                self.shared.stated_limits.configure_cold(&table);
                 self.snapshot.table = Some(Arc::new(table));
                 true
             }
@@ -431,6 +449,7 @@
                 }
                 self.mark_leaving(&hello.leaving);
                 if let Some(peer) = hello.peer.filter(|peer| peer.role() == Role::Gateway) {
+                    self.shared.stated_limits.learn_claims(&peer.name, &hello.demands);
                     self.shared.rates.learn(&peer.name, hello.demands);
                 }
                 for named in &hello.named_rates {
@@ -472,6 +491,13 @@
         let received_at_ms = now_ms();
         let draw = u64::from(draw) + self.division_rank;
         let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
+        let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
+        if self.returns.record_report(before_ms, received_at_ms) {
+            let mut listed = self.fleet.listed();
+            if let Some((key, _)) = listed.find(|(_, m)| m.announcement.address == address) {
+                self.shared.stated_limits.record_return(key);
+            }
+        }
         self.shared.load_reports.record(address, report);
     }
 
@@ -490,6 +516,7 @@
         }
         self.readers.gateway_counts.send_replace(gateways.as_ref().map_or(1, Vec::len));
         self.shared.stated_limits.set_gateways(gateways);
+        let demands = self.demands();
         let settled = self.fleet.remove_expired(now);
         if settled || gateway_count != self.snapshot.gateway_count {
             self.snapshot.gateway_count = gateway_count;
@@ -505,7 +532,7 @@
             config_version,
             leaving,
             named_rates: named_rates(),
-            demands: self.shared.rates.announced(),
+            demands,
             ..Hello::default()
         };
         self.peers.send_hello(hello).await;
@@ -513,6 +540,21 @@
         self.send_trials().await;
     }
 
+    /// Returns the request rates for hello messages, and the claims to the rates of cold backends.
+    fn demands(&self) -> Vec<Demand> {
+        let rates = &self.shared.rates;
+        let claims = self.shared.stated_limits.sample_claims(|service| rates.own_per_s(service));
+        let mut demands = rates.announced();
+        for (service, claim_per_s) in claims.into_iter().filter(|&(_, claim)| claim > 0.0) {
+            let claim_per_s = claim_per_s as f32;
+            match demands.iter_mut().find(|demand| demand.service == service) {
+                Some(demand) => demand.claim_per_s = claim_per_s,
+                None => demands.push(Demand { service, claim_per_s, ..Demand::default() }),
+            }
+        }
+        demands
+    }
+
     /// Tells the gateways that grant trials what this one asks for.
     async fn send_trials(&mut self) {
         if self.shared.trials.is_idle() {
@@ -566,5 +608,7 @@
         }
         self.snapshot.fleet = Arc::new(self.fleet.clone());
         self.shared.snapshot.store(Arc::new(self.snapshot.clone()));
+        // Not earlier: requests are placed by the snapshot before.
+        self.shared.stated_limits.retain_cold(&self.fleet);
     }
 }
--- a/daemon/src/gateway_rates.rs
+++ b/daemon/src/gateway_rates.rs
@@ -43,8 +43,11 @@
     /// Returns the rates for this gateway's hello messages.
     pub fn announced(&self) -> Vec<Demand> {
         let rates = self.lock().announced(now_ms());
-        let demand =
-            |rate: ServiceRate| Demand { service: rate.service, requests_per_s: rate.per_s as f32 };
+        let demand = |rate: ServiceRate| Demand {
+            service: rate.service,
+            requests_per_s: rate.per_s as f32,
+            ..Demand::default()
+        };
         rates.into_iter().map(demand).collect()
     }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod caller_stream;
 pub mod callers;
 pub mod clock;
+pub mod cold_backends;
 pub mod context;
 pub mod control;
 pub mod conversions;
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -192,11 +192,14 @@
         self.not_run_rejection(call, NotRunReason::Full)
     }
 
-    /// Returns whether a request that finds all backends paused can be sent and still be on time if it
+    /// Returns whether a request that finds all backends paused or cold can be sent and still be on time if it
     /// waits in this gateway.
     fn may_outwait(call: &Call, excluded: Option<Clearance>) -> bool {
-        matches!(excluded, Some(Clearance::Paused { wait_ms }) if wait_ms < call.target_left_ms())
-            && call.service().engine.is_some()
+        let wait_ms = match excluded {
+            Some(Clearance::Paused { wait_ms } | Clearance::Cold { wait_ms }) => wait_ms,
+            _ => return false,
+        };
+        wait_ms < call.target_left_ms() && call.service().engine.is_some()
     }
 
     fn no_backend_rejection(
@@ -219,6 +222,12 @@
                 metrics::counter!("currantlink_rate_limited_total").increment(1);
                 rate_rejection(wait_ms)
             }
+            Some(Clearance::Cold { wait_ms }) => {
+                log::info!(request = call.attempt_id.as_str(), wait_ms,
+                    route = call.route().name.as_str(); "backends are cold and at their limits");
+                metrics::counter!("currantlink_cold_limited_total").increment(1);
+                rate_rejection(wait_ms)
+            }
             Some(Clearance::Clear) | None if is_capped => {
                 self.not_run_rejection(call, NotRunReason::Full)
             }
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -215,6 +215,7 @@
 
     /// Replaces the settings.
     pub fn set_settings(&self, settings: GatewaySettings) {
+        self.stated_limits.set_cold_margin(settings.common.cold_margin());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -134,6 +134,7 @@
     named_rate: Option<String>,
     requested_pause: Option<String>,
     is_leaving: bool,
+    keeps_id: bool,
     down_time: Option<Duration>,
     exit_time: Duration,
     arrived: Vec<Arrival>,
@@ -261,6 +262,11 @@
         self.state().exit_time = exit_time;
     }
 
+    /// Makes the backend return under the same id after crashes.
+    pub fn keep_id(&self) {
+        self.state().keeps_id = true;
+    }
+
     /// Returns how many times the backend has crashed.
     pub fn crashes(&self) -> u32 {
         *self.crashes.borrow()
@@ -280,6 +286,7 @@
     pub fn id(&self) -> String {
         match *self.restarts.borrow() {
             0 => self.id.clone(),
+            _ if self.state().keeps_id => self.id.clone(),
             restarts => format!("{}-{restarts}", self.id),
         }
     }
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -282,6 +282,7 @@
             "name": name, "failure_domain": "a", "ip": LINK_IP, "link_port": link.port(),
             "store_address": self.store.to_string(), "drain_ms": 2_000, "grace_s": self.grace_s,
             "retry_ratio": 0.2, "retry_slack": 60.0, "retry_window_s": 10.0,
+            "cold_overage": 1.5, "cold_slack": 5.0,
         });
         if let (Some(settings), Some(role_settings)) =
             (settings.as_object_mut(), role_settings.as_object())
@@ -295,7 +296,20 @@
 
     /// Writes the registration record of a backend, as the backend would.
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        let record = backend_record(service, address, state, 1);
+        let record = backend_record(service, address, state, 1, 0);
+        self.records.put(names::BACKENDS_TOPIC, id, &record);
+    }
+
+    /// Writes the registration record of a backend that has started at `born_ms` and is cold.
+    pub fn register_cold(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        born_ms: u64,
+        cold_remaining_ms: u64,
+    ) {
+        let record = backend_record(service, address, "ready", born_ms, cold_remaining_ms);
         self.records.put(names::BACKENDS_TOPIC, id, &record);
     }
 
@@ -312,7 +326,7 @@
         tokio::spawn(async move {
             while restarts.changed().await.is_ok() {
                 let born_ms = u64::from(*restarts.borrow()) + 1;
-                let record = backend_record(service, address, "ready", born_ms);
+                let record = backend_record(service, address, "ready", born_ms, 0);
                 records.put(names::BACKENDS_TOPIC, &backend.id(), &record);
             }
         });
@@ -343,10 +357,16 @@
     }
 }
 
-fn backend_record(service: &str, address: SocketAddr, state: &str, born_ms: u64) -> Vec<u8> {
+fn backend_record(
+    service: &str,
+    address: SocketAddr,
+    state: &str,
+    born_ms: u64,
+    cold_remaining_ms: u64,
+) -> Vec<u8> {
     let record = json!({
         "service": service, "address": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": born_ms,
+        "slots": 4, "state": state, "cold_remaining_ms": cold_remaining_ms, "sequence": 1, "born": born_ms,
     });
     record.to_string().into_bytes()
 }
