Count silent gateways when a cold backend's rate is divided and many fall silent

Gateways that were cut off from each other, but not from a cold backend, would each have used the whole rate once they had forgotten the others. If over 40 % of the gateways are silent, they count for 20 s. Ruled out: to count each silent gateway that long, which leaves a third of the rate unused when one of three gateways is replaced.

--- a/core/src/rate_lanes.rs
+++ b/core/src/rate_lanes.rs
@@ -31,6 +31,12 @@
 const DIVISION_VALID_MS: u64 = 500;
 /// Time between two samples of the demand from which on the process counts as suspended.
 const MAX_SAMPLE_GAP_MS: u64 = 1_000;
+/// Time for which gateways that fell silent together still count, since they may be cut off from this one but
+/// not from the backends. Cuts between failure domains of some seconds are expected.
+const CUT_OFF_MS: u64 = 20_000;
+/// Share of silent gateways above which they may be cut off. Fewer of them were usually replaced; if three
+/// gateways are replaced one after another, two in five are silent.
+const MAX_SILENT_SHARE: f64 = 0.4;
 /// Claim of a gateway without demand. It decides only among such gateways.
 const MIN_CLAIM_PER_S: f64 = 0.01;
 /// Time over which the demand is averaged, in addition to the averaging of the samples.
@@ -197,7 +203,7 @@
         while self.own.get(1).is_some_and(|&(since_ms, _)| is_before_window(since_ms, now_ms)) {
             self.own.pop_front();
         }
-        self.others.retain(|_, other| other.is_current(now_ms));
+        self.others.retain(|_, other| now_ms < other.received_at_ms + CUT_OFF_MS);
         claim
     }
 
@@ -213,10 +219,14 @@
     /// Returns the gateways among which lanes are divided.
     ///
     /// A gateway that has not announced claims for long enough owns no lane: the others may not know it,
-    /// and it may not know them. Gateways that are known to exist but have not been heard are assumed to
+    /// and it may not know them. Gateways that fell silent do not count, unless they are so many that they
+    /// may be cut off rather than gone. Gateways that are known to exist but have not been heard are assumed to
     /// claim as much as this one.
     pub fn competitors(&self, plan: LanePlan, now_ms: u64) -> Competitors {
-        let others = self.others.iter().filter(|(_, other)| other.is_current(now_ms));
+        let silent = self.others.values().filter(|other| !other.is_current(now_ms)).count();
+        let is_cut_off = silent as f64 > MAX_SILENT_SHARE * (self.others.len() + 1) as f64;
+        let counts = |other: &ReceivedClaim| is_cut_off || other.is_current(now_ms);
+        let others = self.others.iter().filter(|(_, other)| counts(other));
         let mut others: Vec<(u64, f64)> =
             others.map(|(&hash, other)| (hash, plan.weight(other.per_s))).collect();
         let is_settled =
--- a/core/tests/cold_backends.rs
+++ b/core/tests/cold_backends.rs
@@ -49,6 +49,8 @@
     demand_per_s: f64,
     /// Interval after which the next tenth of the gateways is replaced.
     replace_ms: Option<u64>,
+    /// Time from which gateways do not hear those at other positions modulo this number.
+    cut: Option<(u64, usize)>,
     length_ms: u64,
     seed: u64,
 }
@@ -197,8 +199,12 @@
                 continue;
             }
             let mut claims = std::mem::replace(&mut all[receiver].claims, DemandClaims::new(""));
-            let others = all.iter().chain(stopped.iter().map(|(_, gateway)| gateway));
-            for sender in others {
+            let is_cut = |sender: usize| {
+                let cut = self.cut.filter(|&(from_ms, _)| now_ms >= from_ms);
+                cut.is_some_and(|(_, parts)| sender % parts != receiver % parts)
+            };
+            let reachable = (0..all.len()).filter(|&sender| !is_cut(sender)).map(|s| &all[s]);
+            for sender in reachable.chain(stopped.iter().map(|(_, gateway)| gateway)) {
                 let sent_at_ms = now_ms.saturating_sub(rng.random_range(0..=MAX_DELAY_MS));
                 if let Some(claim) = sender.announced_at(sent_at_ms) {
                     claims.record(&sender.name, claim, now_ms);
@@ -256,6 +262,7 @@
     // 94 requests per second for 8 services (docs/CAPACITY.md).
     demand_per_s: 12.0,
     replace_ms: None,
+    cut: None,
     length_ms: 30_000,
     seed: 1,
 };
@@ -315,6 +322,17 @@
     }
 }
 
+/// Guards against gateways that each take the whole rate when they are cut off from each other.
+#[test]
+fn cut_off_gateways() {
+    for gateways in [4, 40] {
+        for parts in [2, 3, gateways] {
+            let cut = Some((WARM_UP_MS, parts));
+            Play { gateways, cut, length_ms: 18_000, ..ONE }.check();
+        }
+    }
+}
+
 /// Guards against a bound that rests on gateways with many requests. Few requests at each of many gateways
 /// leave lanes unused.
 #[test]
