Order waiting requests by urgency class first

Cause: the wait queue put the origin of a request before its urgency. A returned urgent request stood behind all new less urgent ones and was let through once in 16, a request that joined counted everything ahead of it, and the urgency class sent to backends put urgent client retries after everything else.

Where the routes of a service differ in priority, the queue now orders by urgency class, then by origin and age as before. Only requests that go first are counted when one joins. Less urgent ones that can no longer be sent in time give way at once, and so do those of a workspace with more waiting requests. Workspaces of a class take turns. The expected wait of a class allows for more urgent requests that are yet to come. Priorities of workspaces do not override those of routes in such services, because the urgency class is that of the route. Services with a single priority keep their order.

--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -3,6 +3,12 @@
 use derive_more::{Display, Error};
 use indexmap::IndexMap;
 
+use crate::turns::UrgencyClass;
+
+/// Maximum number of urgency classes of a service. Backends order requests by ten classes, two of which
+/// are used for each of these.
+pub const MAX_CLASSES: usize = 5;
+
 /// Index of a route in its route table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RouteKey(pub u32);
@@ -200,6 +206,8 @@
     workspaces: Option<Vec<WorkspaceKeys>>,
     by_host: IndexMap<String, Vec<RouteKey>>,
     by_key: IndexMap<String, usize>,
+    /// By service: the priorities of its routes, if they differ, the most urgent first.
+    priorities: Vec<Vec<u32>>,
 }
 
 impl RouteTable {
@@ -223,7 +231,8 @@
         for (index, workspace) in workspaces.iter().flatten().enumerate() {
             by_key.extend(workspace.keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { version, routes, pools, limits, workspaces, by_host, by_key }
+        let priorities = differing_priorities(&routes, pools.len());
+        Self { version, routes, pools, limits, workspaces, by_host, by_key, priorities }
     }
 
     /// Returns the configuration version.
@@ -251,6 +260,20 @@
         &self.pools
     }
 
+    /// Returns the number of urgency classes of a service: 1 unless its routes differ in priority.
+    pub fn class_count(&self, pool: PoolKey) -> u8 {
+        let priorities = self.priorities.get(pool.0 as usize);
+        priorities.map_or(1, |priorities| priorities.len().clamp(1, MAX_CLASSES) as u8)
+    }
+
+    /// Returns the urgency class of a route at a service, or `None` if all routes of the service have
+    /// the same priority. Beyond [`MAX_CLASSES`], the least urgent priorities share a class.
+    pub fn urgency_class(&self, route: RouteKey, pool: PoolKey) -> Option<UrgencyClass> {
+        let priorities = self.priorities.get(pool.0 as usize)?;
+        let rank = priorities.binary_search(&self.route(route).priority).ok()?;
+        (priorities.len() > 1).then_some(UrgencyClass(rank.min(MAX_CLASSES - 1) as u8))
+    }
+
     /// Returns the shortest pause target of the streams that a service serves.
     pub fn pause_target_ms(&self, pool: PoolKey) -> Option<u64> {
         let serves = |route: &&Route| route.split.iter().any(|&(key, _)| key == pool);
@@ -316,3 +339,20 @@
         None
     }
 }
+
+/// Returns the priorities of the routes of each service, in order and without repetitions.
+fn differing_priorities(routes: &[Route], pools: usize) -> Vec<Vec<u32>> {
+    let mut priorities = vec![Vec::new(); pools];
+    for route in routes {
+        for &(pool, _) in &route.split {
+            if let Some(of_pool) = priorities.get_mut(pool.0 as usize) {
+                of_pool.push(route.priority);
+            }
+        }
+    }
+    for of_pool in &mut priorities {
+        of_pool.sort_unstable();
+        of_pool.dedup();
+    }
+    priorities
+}
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -20,6 +20,7 @@
 use currantlink_core::silence::{self, LastHeard};
 use currantlink_core::stop::Acceptance;
 use currantlink_core::stream_pace::StreamPace;
+use currantlink_core::turns::UrgencyClass;
 use currantlink_platform::request::{self, RequestMetadata};
 use currantlink_wire::peers::Leaving;
 use http::{HeaderMap, Method, Request, Response, header};
@@ -118,7 +119,10 @@
     pub(crate) body: Option<Bytes>,
     pub(crate) workspace: Option<WorkspaceName>,
     pub(crate) fingerprint: Fingerprint,
+    /// Urgency class that is sent to the backend.
     pub(crate) urgency: u8,
+    /// Urgency class among the requests of the service, if its routes differ in priority.
+    pub(crate) class: Option<UrgencyClass>,
     /// Whether the caller sent the request again after a rejection or a lost response, and part of
     /// its deadline has already been used.
     pub(crate) is_client_retry: bool,
@@ -418,6 +422,8 @@
         let deadline = arrived_at + Duration::from_millis(limit_ms);
         let body = self.read_request_body(body, table.limits().max_body_bytes, deadline).await?;
         let is_client_retry = self.is_client_retry(route, &metadata);
+        let has_engine = table.pool(service_key).engine.is_some();
+        let class = table.urgency_class(admitted.route, service_key).filter(|_| has_engine);
         let service = table.pool(service_key).name.clone();
         self.with_retry_share(service, |share| share.record_request(now_ms()));
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
@@ -442,7 +448,11 @@
             body,
             workspace,
             fingerprint,
-            urgency: urgency(admitted.priority, is_client_retry),
+            urgency: match class {
+                Some(class) => class_urgency(class, is_client_retry),
+                None => urgency(admitted.priority, is_client_retry),
+            },
+            class,
             is_client_retry,
             progress,
             trial: RefCell::default(),
@@ -557,6 +567,12 @@
     }
 }
 
+/// Returns the urgency class that is sent to a backend if the routes of its service differ in priority:
+/// client retries go after other requests of their class, but before those of less urgent ones.
+fn class_urgency(class: UrgencyClass, is_client_retry: bool) -> u8 {
+    (2 * class.0 + u8::from(is_client_retry)).min(MAX_URGENCY as u8)
+}
+
 /// Returns the urgency class, which orders admission at a backend: by the caller's priority, with
 /// client retries after other requests.
 fn urgency(priority: u32, is_client_retry: bool) -> u8 {
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -1,12 +1,15 @@
 //! Requests that wait in this gateway until a backend has room. See [`currantlink_core::turns`].
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use currantlink_core::fleet::FleetKey;
+use currantlink_core::ids::{Fingerprint, WorkspaceName};
 use currantlink_core::retry::RetryState;
-use currantlink_core::turns::{Origin, SendLeft, TurnKey, WaitQueue, Waiting};
+use currantlink_core::turns::{
+    Origin, SendLeft, TurnKey, UrgencyClass, WaitQueue, Waiting, WorkspaceKey,
+};
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -27,7 +30,18 @@
 #[derive(Default)]
 struct ServiceTurns {
     queue: WaitQueue,
-    wakers: IndexMap<TurnKey, Rc<Notify>>,
+    wakers: IndexMap<TurnKey, Rc<Waker>>,
+    /// Expected time between two turns when a request last joined, if the service has several urgency
+    /// classes.
+    class_interval_ms: Option<f64>,
+}
+
+/// Wakes a waiting request.
+#[derive(Default)]
+struct Waker {
+    notify: Notify,
+    /// Whether the request has given way and is to be rejected.
+    has_yielded: Cell<bool>,
 }
 
 /// The place of a request in a queue, given up when dropped.
@@ -35,19 +49,32 @@
     turns: Turns,
     service: String,
     key: TurnKey,
-    waker: Rc<Notify>,
+    waker: Rc<Waker>,
+    class: UrgencyClass,
 }
 
 impl Turns {
-    fn join(&self, service: &str, request: Waiting, interval_ms: f64) -> Option<Turn> {
+    /// Adds a request to a queue, or returns `None` if it would wait for longer than it can.
+    /// `has_classes` is whether the service has several urgency classes.
+    fn join(
+        &self,
+        service: &str,
+        request: Waiting,
+        interval_ms: f64,
+        has_classes: bool,
+    ) -> Option<Turn> {
         let mut services = self.0.borrow_mut();
         let turns = services.entry(service.to_owned()).or_default();
-        let key = turns.queue.join(now_ms(), request, interval_ms)?;
-        let waker = Rc::new(Notify::new());
+        turns.class_interval_ms = has_classes.then_some(interval_ms);
+        let key = turns.queue.join(now_ms(), request, interval_ms);
+        turns.wake_yielded(service);
+        let key = key?;
+        let waker = Rc::<Waker>::default();
         turns.wakers.insert(key, Rc::clone(&waker));
         metrics::gauge!("currantlink_waiting_requests", "service" => service.to_owned())
             .set(turns.queue.len() as f64);
-        Some(Turn { turns: self.clone(), service: service.to_owned(), key, waker })
+        let class = request.class;
+        Some(Turn { turns: self.clone(), service: service.to_owned(), key, waker, class })
     }
 
     fn has_waiting(&self) -> bool {
@@ -66,22 +93,41 @@
     }
 
     /// Returns whether a request that arrives is sent before those that wait.
-    fn may_overtake(&self, service: &str, origin: Origin) -> bool {
+    fn may_overtake(&self, service: &str, class: UrgencyClass, origin: Origin) -> bool {
         let services = self.0.borrow();
-        services.get(service).is_none_or(|turns| turns.queue.may_overtake(origin, now_ms()))
+        let may_overtake =
+            |turns: &ServiceTurns| turns.queue.may_overtake_in(class, origin, now_ms());
+        services.get(service).is_none_or(may_overtake)
     }
 
-    fn record_sent_directly(&self, service: &str) {
+    fn record_sent_directly(&self, service: &str, class: UrgencyClass) {
         if let Some(turns) = self.0.borrow_mut().get_mut(service) {
-            turns.queue.record_sent_directly();
+            turns.queue.record_sent_directly_in(class);
         }
     }
 
-    /// Wakes the next requests of each service.
+    /// Wakes the next requests of each service, and those that can no longer be sent in time.
     fn wake(&self) {
-        for turns in self.0.borrow().values() {
+        for (service, turns) in self.0.borrow_mut().iter_mut() {
+            if let Some(interval_ms) = turns.class_interval_ms {
+                turns.queue.yield_late(now_ms(), interval_ms, |_| true);
+                turns.wake_yielded(service);
+            }
             let next = turns.queue.next_turns(now_ms()).filter_map(|key| turns.wakers.get(&key));
-            next.for_each(|waker| waker.notify_one());
+            next.for_each(|waker| waker.notify.notify_one());
+        }
+    }
+}
+
+impl ServiceTurns {
+    fn wake_yielded(&mut self, service: &str) {
+        for key in self.queue.take_yielded() {
+            metrics::counter!("currantlink_yielded_requests_total", "service" => service.to_owned())
+                .increment(1);
+            if let Some(waker) = self.wakers.get(&key) {
+                waker.has_yielded.set(true);
+                waker.notify.notify_one();
+            }
         }
     }
 }
@@ -95,7 +141,7 @@
 
     fn record_rejected(&self, origin: Origin) {
         if let Some(turns) = self.turns.0.borrow_mut().get_mut(&self.service) {
-            turns.queue.record_rejected(origin, now_ms());
+            turns.queue.record_rejected_in(self.class, origin, now_ms());
         }
     }
 }
@@ -129,17 +175,17 @@
         let service = &call.service().name;
         self.rates.record_arrival(service);
         let may_wait = call.service().engine.is_some();
-        let origin = origin(call, relay);
+        let (class, origin) = (call.class.unwrap_or_default(), origin(call, relay));
         if self.is_out_of_patience(call) {
             return Err(self.not_run_rejection(call, NotRunReason::Late));
         }
         let mut unavailable = None;
-        if !may_wait || self.turns.may_overtake(service, origin) {
+        if !may_wait || self.turns.may_overtake(service, class, origin) {
             match self.place(call, tried) {
                 Err(PlacementError::Unavailable(backends)) => unavailable = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => {
-                    self.turns.record_sent_directly(service);
+                    self.turns.record_sent_directly(service, class);
                     return Ok(placement);
                 }
             }
@@ -149,12 +195,19 @@
             return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         }
         let waiting = self.waiting(call, origin, !tried.is_empty());
-        let Some(turn) = self.turns.join(service, waiting, interval_ms) else {
+        let has_classes = call.class.is_some();
+        let Some(turn) = self.turns.join(service, waiting, interval_ms, has_classes) else {
             return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         };
         let until = call.deadline.min(Instant::now() + waiting.longest());
         self.pool.changed().notify_one();
-        while tokio::time::timeout_at(until, turn.waker.notified()).await.is_ok() {
+        while tokio::time::timeout_at(until, turn.waker.notify.notified()).await.is_ok() {
+            if turn.waker.has_yielded.get() {
+                log::info!(request = call.attempt_id.as_str(), class:% = class,
+                    waited_ms = now_ms() - waiting.since_ms, interval_ms = interval_ms as u64;
+                    "request gives way to others");
+                return Err(self.unavailable_rejection(call, unavailable, interval_ms));
+            }
             match self.place(call, tried) {
                 Err(PlacementError::Unavailable(backends)) => unavailable = Some(backends),
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
@@ -186,10 +239,19 @@
             on_time_ms: call.target_left_ms().saturating_sub(self.start_ms(call) as u64),
             awaited_ms: self.send_left_ms(call).unwrap_or(0),
         };
-        Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left) }
+        let waiting = Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left) };
+        match call.class {
+            Some(class) => Waiting { class, workspace: workspace_key(call), ..waiting },
+            None => waiting,
+        }
     }
 }
 
+fn workspace_key(call: &Call) -> WorkspaceKey {
+    let name = call.workspace.as_ref().map_or("", WorkspaceName::as_str);
+    WorkspaceKey(Fingerprint::of(&[name.as_bytes()]).0)
+}
+
 /// Returns whether a request waits for backends that do not take it now.
 fn is_worth_waiting(unavailable: Option<&Unavailable>, origin: Origin) -> bool {
     match unavailable {
