--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -74,6 +74,8 @@
     pub draw: u64,
     /// Slowdown factor of the backend: 1 is its normal speed, larger is slower. 0 if unknown.
     pub pace: f64,
+    /// Whether the agent has announced that this is its last report.
+    pub is_last: bool,
 }
 
 impl LoadReport {
--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -16,6 +16,9 @@
 /// expired during the outage reappear in this time.
 pub const RECONNECTED_ANNOUNCE_MS: u64 = 2_000;
 
+/// Shortest outage in which entries may expire. Longer than the longest time between two reads.
+pub const MIN_OUTAGE_MS: u64 = 2_000;
+
 /// Time of a long poll for each gateway that polls. All gateways together make some calls per second,
 /// and one of them soon notices that connections to the store have become silent.
 const POLL_PER_GATEWAY_MS: u64 = 250;
@@ -36,6 +39,16 @@
     known_at_ms.is_none_or(|known_at_ms| at_ms > known_at_ms + RECONNECTED_ANNOUNCE_MS)
 }
 
+/// Returns whether the store may have been away until `at_ms`, as another gateway announces, for a
+/// process that last read it, or was passed on a read, at `contact_at_ms`.
+///
+/// A gateway that was cut off cannot tell its own outage from one of the store. Entries expire after
+/// three missing heartbeats, more than [`MIN_OUTAGE_MS`], so an outage in which some did is one in which
+/// no gateway could read for so long.
+pub fn may_have_been_away(contact_at_ms: Option<u64>, at_ms: u64) -> bool {
+    contact_at_ms.is_none_or(|contact_at_ms| contact_at_ms + MIN_OUTAGE_MS <= at_ms)
+}
+
 /// Returns the time for which a gateway waits in a read for a new configuration, of `gateways` live
 /// gateways that tell each other which version they know.
 pub fn poll_ms(gateways: usize) -> u64 {
--- a/core/src/silence.rs
+++ b/core/src/silence.rs
@@ -25,13 +25,15 @@
     pub heard_at_ms: u64,
     /// Mean interval between its recent reports.
     pub interval_ms: f64,
+    /// Whether its agent has announced that it stops. The lack of reports then says nothing of the backend.
+    pub is_agent_stopping: bool,
 }
 
 impl<K> LastHeard<K> {
     fn is_silent(&self, now_ms: u64) -> bool {
         let (least_ms, most_ms) = SILENT_AFTER_RANGE_MS;
         let silent_after_ms = (self.interval_ms * MISSING_REPORTS).clamp(least_ms, most_ms) as u64;
-        (silent_after_ms..SILENT_UNTIL_MS).contains(&self.age_ms(now_ms))
+        !self.is_agent_stopping && (silent_after_ms..SILENT_UNTIL_MS).contains(&self.age_ms(now_ms))
     }
 
     fn age_ms(&self, now_ms: u64) -> u64 {
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -105,7 +105,7 @@
     while !agent.can_exit() {
         tokio::select! {
             () = signals.next() => match agent.exit_at_ms {
-                None => agent.begin_stop(),
+                None => agent.begin_stop().await,
                 Some(_) => break,
             },
             path = reload.changed() => match deployment_settings::load_agent(&path) {
@@ -128,6 +128,8 @@
             _ = tick.tick() => agent.tick().await,
         }
     }
+    // Either of the messages may be lost.
+    agent.announce_stop().await;
     log::info!("agent stopped");
     Ok(())
 }
@@ -226,10 +228,21 @@
         }
     }
 
-    fn begin_stop(&mut self) {
+    async fn begin_stop(&mut self) {
         let exits_after = Stop::begin(self.settings.common.grace()).exits_after();
         self.exit_at_ms = Some(now_ms().saturating_add(exits_after.as_millis() as u64));
         log::info!("agent stopping");
+        self.announce_stop().await;
+    }
+
+    /// Tells the gateways that the backend's reports end, so that they do not take it for silent.
+    async fn announce_stop(&self) {
+        let Some((_, load)) = &self.load_sent else {
+            return;
+        };
+        let load = Load { is_last: true, ..load.clone() };
+        let gateways = self.peers.live_gateways().map(|(_, address)| address);
+        self.peers.send_all(gateways, peer_message::Body::Load(load)).await;
     }
 
     /// Returns whether the agent is stopping and its group does not wait for it. A hold does not
@@ -354,6 +367,7 @@
             draw: self.division.number(now).into(),
             group: state.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default(),
             pace: state.pace as f32,
+            is_last: self.exit_at_ms.is_some(),
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -26,6 +26,7 @@
         entries: IndexMap::new(),
         is_listed: false,
         reconnected_at_ms: None,
+        contact_at_ms: None,
         updates,
     };
     let mut read_at = Instant::now();
@@ -51,6 +52,8 @@
     /// position, so what the next read only confirms may be new to other gateways.
     is_listed: bool,
     reconnected_at_ms: Option<u64>,
+    /// Time of the last read that was made here or passed on.
+    contact_at_ms: Option<u64>,
     updates: Updates,
 }
 
@@ -67,6 +70,7 @@
         if is_reconnected {
             self.reconnect(now_ms())?;
         }
+        self.contact_at_ms = Some(now_ms());
         match read {
             TopicRead::All(records) => {
                 let listing: Vec<(String, Observation)> =
@@ -97,11 +101,15 @@
         }
         if let Some(age_ms) = message.reconnected_age_ms {
             let at_ms = now_ms().saturating_sub(age_ms);
-            if shared_reads::is_other_reconnection(self.reconnected_at_ms, at_ms) {
+            if shared_reads::is_other_reconnection(self.reconnected_at_ms, at_ms)
+                && shared_reads::may_have_been_away(self.contact_at_ms, at_ms)
+            {
                 self.reconnect(at_ms)?;
             }
         }
         let read_age_ms = message.read_age_ms;
+        let read_at_ms = now_ms().saturating_sub(read_age_ms);
+        self.contact_at_ms = self.contact_at_ms.max(Some(read_at_ms));
         let new = message.records.into_iter().filter(|r| Some(r.offset) >= position);
         let new = new.map(|StoreRecord { offset, key, value }| {
             let value = (!value.is_empty()).then_some(value);
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -519,14 +519,22 @@
         let Ok(address) = load.backend_address.parse::<SocketAddr>() else {
             return;
         };
-        let Load { active, queued, is_open, is_stalled, draw, pace, .. } = *load;
+        let Load { active, queued, is_open, is_stalled, draw, pace, is_last, .. } = *load;
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
         let draw = u64::from(draw) + self.division_rank;
         let pace = f64::from(pace);
-        let report =
-            LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw, pace };
+        let report = LoadReport {
+            active,
+            queued,
+            is_serving,
+            received_at_ms,
+            interval_ms,
+            draw,
+            pace,
+            is_last,
+        };
         let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
         if self.returns.record_report(before_ms, received_at_ms) {
             let mut listed = self.fleet.listed();
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -324,6 +324,7 @@
                     key,
                     heard_at_ms,
                     interval_ms,
+                    is_agent_stopping: report.is_last,
                 });
             }
         }
