Admit requests by urgency class across gateways

Cause: each gateway decided from its own queue only. A less urgent request took the last slot while more urgent ones were rejected at other gateways, and nothing was held back before the slots were full.

Where the routes of a service with an engine profile differ in priority, each gateway keeps an admission level, adapted from requests without room and streams with long pauses, and announces it in its hello messages while any level is low. New requests above the mean level are held back at once, less urgent ones leave a reserve of slots, and a class that is hardly served goes first. Returned requests are never held back and get one turn in four of their class. A request joins the queue if it is expected to be sent in half of its time, so fewer are rejected late. Nothing changes for other services.

Its rule "by origin" puts all requests in one class, for which the order is the earlier one.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -70,6 +70,11 @@
             ),
             "not-run: late" => "not run; its first event would have come too late".to_owned(),
             "not-run: full" => full_cause(last("backends full")),
+            "not-run: held-back" => format!(
+                "not run; held back for more urgent requests: class {}, {} classes admitted",
+                value(last("request held back for more urgent ones"), "class"),
+                value(last("request held back for more urgent ones"), "level")
+            ),
             "not-run: rate-limited" => format!(
                 "not run; its backends were at the rate limits that they name, the next one for {} ms",
                 value(last("backends at their rate limits"), "wait_ms")
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! The caller passes in events, the current time in milliseconds and random draws, and executes the
 //! returned commands.
 
+pub mod admission;
 pub mod arrivals;
 pub mod attempt;
 pub mod budget;
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -266,6 +266,12 @@
         priorities.map_or(1, |priorities| priorities.len().clamp(1, MAX_CLASSES) as u8)
     }
 
+    /// Returns whether a service is known and its routes differ in priority.
+    pub fn has_classes(&self, service: &str) -> bool {
+        let key = self.pools.iter().position(|pool| pool.name == service);
+        key.is_some_and(|key| self.class_count(PoolKey(key as u32)) > 1)
+    }
+
     /// Returns the urgency class of a route at a service, or `None` if all routes of the service have
     /// the same priority. Beyond [`MAX_CLASSES`], the least urgent priorities share a class.
     pub fn urgency_class(&self, route: RouteKey, pool: PoolKey) -> Option<UrgencyClass> {
--- a/core/src/turns.rs
+++ b/core/src/turns.rs
@@ -17,9 +17,15 @@
 /// One in this many requests that are sent is one that has returned, if any waits. The others are new
 /// ones while there are more of them than can be sent, because those can still be on time.
 const RETURNED_PERIOD: u32 = 16;
+/// The same where requests of several classes are sent. New requests that are held back by the admission
+/// level return, and a second rejection costs more than a late response.
+const CLASS_RETURNED_PERIOD: u32 = 4;
 /// Time after the rejection of a new request during which there are more new ones than can be sent.
 const OVERLOAD_MS: u64 = 1_000;
 
+/// Part of its time to wait within which a request of one of several classes must be expected to be sent
+/// when it joins. Waits are estimated, and a late rejection costs more than one at once.
+const JOIN_SHARE: f64 = 0.5;
 /// Number of workspaces whose last turns are remembered. One that is forgotten counts as new.
 const MAX_WORKSPACES: usize = 256;
 /// Weight of the newest request in the shares of the classes among the requests that are sent.
@@ -84,6 +90,8 @@
     pub has_tried: bool,
     /// Time at which it began to wait.
     pub since_ms: u64,
+    /// Time by which it must be expected to be sent when it joins.
+    pub join_until_ms: u64,
     /// Time after which it is rejected.
     pub until_ms: u64,
 }
@@ -104,10 +112,19 @@
             workspace: WorkspaceKey::default(),
             has_tried: false,
             since_ms: now_ms,
+            join_until_ms: until_ms,
             until_ms,
         }
     }
 
+    /// Returns the entry for a service whose routes differ in priority. It joins only if it is expected
+    /// to be sent in half of its time, since more urgent requests may come.
+    pub fn in_class(self, class: UrgencyClass, workspace: WorkspaceKey) -> Self {
+        let wait_ms = ((self.until_ms - self.since_ms) as f64 * JOIN_SHARE) as u64;
+        // All of a class count as equally urgent, also starved ones that wait in another class.
+        Self { class, workspace, urgency: 0, join_until_ms: self.since_ms + wait_ms, ..self }
+    }
+
     /// Returns how long it waits at most.
     pub fn longest(&self) -> Duration {
         Duration::from_millis(self.until_ms - self.since_ms)
@@ -159,7 +176,7 @@
     /// requests, give way if they can no longer be sent in time.
     pub fn join(&mut self, now_ms: u64, request: Waiting, interval_ms: f64) -> Option<TurnKey> {
         let wait_ms = (self.ahead(&request) + 1) as f64 * self.interval_ms(&request, interval_ms);
-        let is_late = now_ms as f64 + wait_ms > request.until_ms as f64;
+        let is_late = now_ms as f64 + wait_ms > request.join_until_ms as f64;
         if is_late && !request.origin.waits_for_groups() {
             self.record_rejected_in(request.class, request.origin, now_ms);
             return None;
@@ -324,7 +341,9 @@
     /// long, there are more than can be sent in time: the one that came last is then the most certain
     /// to be on time. A returned request does not stand back for less urgent ones.
     fn next(&self, now_ms: u64, is_eligible: impl Fn(&Waiting) -> bool) -> Option<TurnKey> {
-        let is_returned_turn = self.sent % RETURNED_PERIOD == RETURNED_PERIOD - 1;
+        let has_classes = self.sent_shares.len() > 1;
+        let period = if has_classes { CLASS_RETURNED_PERIOD } else { RETURNED_PERIOD };
+        let is_returned_turn = self.sent % period == period - 1;
         let least_urgent = self.waiting.values().map(|request| request.class).max();
         let may_return = |request: &Waiting| {
             is_returned_turn
--- a/core/tests/route_table.rs
+++ b/core/tests/route_table.rs
@@ -1,7 +1,7 @@
 //! The route table returns the route with the longest prefix, and the workspace of the API key.
 
 use currantlink_core::routes::{
-    CallerLimits, Denied, Pool, PoolKey, Repeat, Route, RouteTable, WorkspaceKeys,
+    CallerLimits, Denied, Pool, PoolKey, Repeat, Route, RouteKey, RouteTable, WorkspaceKeys,
 };
 
 fn route(name: &str, prefix: &str, public: bool) -> Route {
@@ -72,3 +72,21 @@
     let second = (0..1_000).filter(|&draw| picked(draw) == Some(PoolKey(1))).count();
     assert_eq!(second, 100);
 }
+
+#[test]
+fn urgency_classes() {
+    let urgency = |priorities: &[u32]| {
+        let routes = priorities.iter().map(|&priority| Route { priority, ..route("a", "/", true) });
+        let pool = Pool { name: "x".into(), max_connections: 10, engine: None };
+        let table = RouteTable::new(7, routes.collect(), vec![pool], CallerLimits::default(), None);
+        let class = |key| table.urgency_class(RouteKey(key), PoolKey(0)).map(|class| class.0);
+        let classes: Vec<_> = (0..priorities.len() as u32).map(class).collect();
+        assert_eq!(table.has_classes("x"), table.class_count(PoolKey(0)) > 1);
+        (table.class_count(PoolKey(0)), classes)
+    };
+    assert_eq!(urgency(&[2, 2]), (1, vec![None, None]), "all routes have the same priority");
+    assert_eq!(urgency(&[7, 0, 2, 7]), (3, vec![Some(2), Some(0), Some(1), Some(2)]));
+    assert_eq!(urgency(&[0, 1, 2, 3, 4, 5]).0, 5);
+    assert_eq!(urgency(&[0, 1, 2, 3, 4, 5]).1[4..], [Some(4), Some(4)]);
+    assert!(!table().has_classes("unknown"));
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -26,6 +26,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+use crate::admission::SharedAdmission;
 use crate::agent;
 use crate::backend_follower;
 use crate::clock::now_ms;
@@ -78,6 +79,8 @@
     pub trials: Arc<SharedTrials>,
     /// Request rates of this gateway and the others, written by both.
     pub rates: Arc<SharedRates>,
+    /// Admission levels of this gateway and the others, written by both.
+    pub admission: Arc<SharedAdmission>,
     /// Backends that said in a response that they leave, from the traffic thread to the control thread.
     pub leaving: mpsc::UnboundedSender<Leaving>,
 }
@@ -93,10 +96,18 @@
     let load_reports = Arc::<LoadReports>::default();
     let stated_limits = Arc::new(StatedLimits::new(settings.common.name()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
-    let (trials, rates) = (Arc::default(), Arc::default());
+    let (trials, rates, admission) = (Arc::default(), Arc::default(), Arc::default());
     let (leaving, left) = mpsc::unbounded_channel();
-    let shared =
-        SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving };
+    let shared = SharedState {
+        snapshot,
+        load_reports,
+        stated_limits,
+        crashes,
+        trials,
+        rates,
+        admission,
+        leaving,
+    };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
     control_thread(move || control(control_settings, control_shared, left))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -432,6 +443,7 @@
                 self.mark_leaving(&hello.leaving);
                 if let Some(peer) = hello.peer.filter(|peer| peer.role() == Role::Gateway) {
                     self.shared.rates.learn(&peer.name, hello.demands);
+                    self.shared.admission.learn(&peer.name, hello.admission_levels);
                 }
                 for named in &hello.named_rates {
                     self.shared.stated_limits.learn(&self.fleet, named);
@@ -506,6 +518,7 @@
             leaving,
             named_rates: named_rates(),
             demands: self.shared.rates.announced(),
+            admission_levels: self.shared.admission.announced(),
             ..Hello::default()
         };
         self.peers.send_hello(hello).await;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! `gateway` proxies callers' requests to backends, and `agent` reports the load of one backend and
 //! sends orders to that backend. Decisions are made in `currantlink-core`.
 
+pub mod admission;
 pub mod agent;
 pub mod attempts;
 pub mod backend;
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use currantlink_core::admission::Room;
 use currantlink_core::concurrency::StreamPauses;
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
@@ -104,7 +105,12 @@
         let is_busy = self.turns.is_busy(service);
         let queue_limit =
             least_loaded::queue_limit(call.route().target_ms, duration_ms, slots, is_busy);
-        let limits = Limits { running: self.running_limit(call, now), queued: queue_limit };
+        let running = self.running_limit(call, now);
+        let usable_slots = running.unwrap_or(slots).min(slots);
+        // A request that was sent before is not held up a second time.
+        let reserved = if tried.is_empty() { self.reserved_slots(call, usable_slots) } else { 0 };
+        let running = if reserved > 0 { Some(usable_slots - reserved) } else { running };
+        let limits = Limits { running, queued: queue_limit };
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
         let sample_size = least_loaded::sample_size(candidates.len(), gateways);
@@ -125,7 +131,7 @@
                 let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
-                    running_limit, tried = tried.len(), returned = call.is_client_retry,
+                    running_limit, reserved, tried = tried.len(), returned = call.is_client_retry,
                     waited_ms = call.arrived_at.elapsed().as_millis() as u64,
                     unheard_ms = call.progress.unheard().as_millis() as u64,
                     start_ms = self.start_ms(call) as u64,
@@ -293,6 +299,23 @@
         let mut observations = self.observations.borrow_mut();
         let pace = observations.stream_paces.entry(call.service().name.clone()).or_default();
         pace.record_stream(now_ms(), pauses, engine);
+        drop(observations);
+        self.record_pause_in_class(call, pauses.longest_ms);
+    }
+
+    /// Returns the load of the backends that may take a request.
+    pub(crate) fn room(&self, call: &Call) -> Room {
+        let now = now_ms();
+        let CandidateSet { candidates, .. } = self.candidate_set(call, &[], now);
+        let limit = self.running_limit(call, now).unwrap_or(u32::MAX);
+        let sum = |count: &dyn Fn(&Candidate) -> u32| {
+            candidates.iter().map(|c| u64::from(count(c))).sum()
+        };
+        let (taken, slots): (u64, u64) = (sum(&Candidate::load), sum(&|c| c.slots.min(limit)));
+        Room {
+            taken: taken as f64 / slots.max(1) as f64,
+            are_waiting: self.turns.count(&call.service().name) > 0,
+        }
     }
 
     /// Returns the expected duration of a request: for streams at the current pace of the engines, for
@@ -357,10 +380,17 @@
     pub(crate) fn not_run_rejection(&self, call: &Call, reason: NotRunReason) -> Rejection {
         let is_forming = reason == NotRunReason::Forming;
         let at_least_ms = match reason {
-            NotRunReason::Full => self.recognized_after_ms(call),
+            NotRunReason::Full | NotRunReason::HeldBack => self.recognized_after_ms(call),
             _ => 0,
         };
-        Rejection::NotRun { reason, retry_after: self.retry_after(call, is_forming, at_least_ms) }
+        let class_retry_after = match reason {
+            NotRunReason::Full | NotRunReason::HeldBack => {
+                self.class_retry_after(call, at_least_ms)
+            }
+            _ => None,
+        };
+        let usual = || self.retry_after(call, is_forming, at_least_ms);
+        Rejection::NotRun { reason, retry_after: class_retry_after.unwrap_or_else(usual) }
     }
 
     /// Returns the delay before a rejected request should be retried, `at_least_ms` if possible.
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -61,6 +61,9 @@
     /// All backends are full.
     #[display("full")]
     Full,
+    /// More urgent requests need the room.
+    #[display("held-back")]
+    HeldBack,
     /// All backends' groups are forming or stalled.
     #[display("forming")]
     Forming,
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -30,6 +30,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::admission::SharedAdmission;
 use crate::attempts::{Dispatched, caller_response};
 use crate::clock::now_ms;
 use crate::crash_ledger::{CrashLedger, RequestKeys};
@@ -63,6 +64,7 @@
     pub(crate) crashes: Arc<CrashLedger>,
     pub(crate) trials: Arc<SharedTrials>,
     pub(crate) rates: Arc<SharedRates>,
+    pub(crate) admission: Arc<SharedAdmission>,
     leaving: mpsc::UnboundedSender<Leaving>,
     pub(crate) pool: ConnectionPool,
     pub(crate) observations: RefCell<Observations>,
@@ -191,8 +193,16 @@
 impl Gateway {
     /// Creates a gateway without observations.
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
-        let SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving } =
-            shared;
+        let SharedState {
+            snapshot,
+            load_reports,
+            stated_limits,
+            crashes,
+            trials,
+            rates,
+            admission,
+            leaving,
+        } = shared;
         Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
@@ -201,6 +211,7 @@
             crashes,
             trials,
             rates,
+            admission,
             leaving,
             pool: ConnectionPool::default(),
             observations: RefCell::default(),
@@ -295,6 +306,9 @@
         observations.leaving.retain(|&key| known(key));
         observations.refused_until_ms.retain(|&key, _| known(key));
         self.stated_limits.retain(known);
+        self.admission.retain(|service| {
+            snapshot.table.as_ref().is_some_and(|table| table.has_classes(service))
+        });
     }
 
     /// Determines which of the backends with an agent are silent.
--- a/daemon/src/turns.rs
+++ b/daemon/src/turns.rs
@@ -175,10 +175,14 @@
         let service = &call.service().name;
         self.rates.record_arrival(service);
         let may_wait = call.service().engine.is_some();
-        let (class, origin) = (call.class.unwrap_or_default(), origin(call, relay));
+        let origin = origin(call, relay);
         if self.is_out_of_patience(call) {
             return Err(self.not_run_rejection(call, NotRunReason::Late));
         }
+        if tried.is_empty() {
+            self.admit_in_class(call, origin)?;
+        }
+        let class = self.turn_class(call);
         let mut unavailable = None;
         if !may_wait || self.turns.may_overtake(service, class, origin) {
             match self.place(call, tried) {
@@ -186,6 +190,7 @@
                 Err(PlacementError::Rejected(rejection)) => return Err(rejection),
                 Ok(placement) => {
                     self.turns.record_sent_directly(service, class);
+                    self.record_sent(call, tried, 0);
                     return Ok(placement);
                 }
             }
@@ -194,9 +199,10 @@
         if !may_wait || !is_worth_waiting(unavailable.as_ref(), origin) {
             return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         }
-        let waiting = self.waiting(call, origin, !tried.is_empty());
+        let waiting = self.waiting(call, origin, class, !tried.is_empty());
         let has_classes = call.class.is_some();
         let Some(turn) = self.turns.join(service, waiting, interval_ms, has_classes) else {
+            self.record_without_room(call, origin);
             return Err(self.unavailable_rejection(call, unavailable, interval_ms));
         };
         let until = call.deadline.min(Instant::now() + waiting.longest());
@@ -206,6 +212,7 @@
                 log::info!(request = call.attempt_id.as_str(), class:% = class,
                     waited_ms = now_ms() - waiting.since_ms, interval_ms = interval_ms as u64;
                     "request gives way to others");
+                self.record_without_room(call, origin);
                 return Err(self.unavailable_rejection(call, unavailable, interval_ms));
             }
             match self.place(call, tried) {
@@ -214,6 +221,7 @@
                 Ok(placement) => {
                     turn.record_sent();
                     let waited_ms = now_ms() - waiting.since_ms;
+                    self.record_sent(call, tried, waited_ms);
                     metrics::histogram!("currantlink_wait_seconds")
                         .record(waited_ms as f64 / MS_PER_S);
                     return Ok(placement);
@@ -224,9 +232,16 @@
             }
         }
         turn.record_rejected(origin);
+        self.record_without_room(call, origin);
         Err(self.unavailable_rejection(call, unavailable, interval_ms))
     }
 
+    fn record_sent(&self, call: &Call, tried: &[FleetKey], waited_ms: u64) {
+        if tried.is_empty() {
+            self.record_sent_in_class(call, waited_ms);
+        }
+    }
+
     /// Returns how long a request waits for a trial.
     pub(crate) fn trial_wait(&self, call: &Call, relay: &RetryState) -> Duration {
         let on_time_ms = call.target_left_ms();
@@ -234,14 +249,20 @@
         Waiting::new(origin(call, relay), call.urgency, now_ms(), left).longest()
     }
 
-    fn waiting(&self, call: &Call, origin: Origin, has_tried: bool) -> Waiting {
+    fn waiting(
+        &self,
+        call: &Call,
+        origin: Origin,
+        class: UrgencyClass,
+        has_tried: bool,
+    ) -> Waiting {
         let left = SendLeft {
             on_time_ms: call.target_left_ms().saturating_sub(self.start_ms(call) as u64),
             awaited_ms: self.send_left_ms(call).unwrap_or(0),
         };
         let waiting = Waiting { has_tried, ..Waiting::new(origin, call.urgency, now_ms(), left) };
         match call.class {
-            Some(class) => Waiting { class, workspace: workspace_key(call), ..waiting },
+            Some(_) => waiting.in_class(class, workspace_key(call)),
             None => waiting,
         }
     }
