--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -28,6 +28,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+use crate::admission::SharedAdmission;
 use crate::agent;
 use crate::backend_follower;
 use crate::clock::now_ms;
@@ -81,6 +82,8 @@
     pub trials: Arc<SharedTrials>,
     /// Request rates of this gateway and the others, written by both.
     pub rates: Arc<SharedRates>,
+    /// Admission levels of this gateway and the others, written by both.
+    pub admission: Arc<SharedAdmission>,
     /// Backends that said in a response that they leave, from the traffic thread to the control thread.
     pub leaving: mpsc::UnboundedSender<Leaving>,
 }
@@ -97,10 +100,18 @@
     let stated_limits =
         Arc::new(StatedLimits::new(settings.common.name(), settings.common.cold_margin()));
     let crashes = Arc::new(CrashLedger::new(settings.common.name()));
-    let (trials, rates) = (Arc::default(), Arc::default());
+    let (trials, rates, admission) = (Arc::default(), Arc::default(), Arc::default());
     let (leaving, left) = mpsc::unbounded_channel();
-    let shared =
-        SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving };
+    let shared = SharedState {
+        snapshot,
+        load_reports,
+        stated_limits,
+        crashes,
+        trials,
+        rates,
+        admission,
+        leaving,
+    };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
     control_thread(move || control(control_settings, control_shared, left))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -485,6 +496,7 @@
                 if let Some(peer) = hello.peer.filter(|peer| peer.role() == Role::Gateway) {
                     self.shared.stated_limits.learn_claims(&peer.name, &hello.demands);
                     self.shared.rates.learn(&peer.name, hello.demands);
+                    self.shared.admission.learn(&peer.name, hello.admission_levels);
                 }
                 for named in &hello.named_rates {
                     self.shared.stated_limits.learn(&self.fleet, named);
@@ -584,6 +596,7 @@
             named_rates: named_rates(),
             evacuations: evacuations::announced(&self.evacuations),
             demands,
+            admission_levels: self.shared.admission.announced(),
             ..Hello::default()
         };
         self.peers.send_hello(hello).await;
