--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -90,6 +90,9 @@
                 value(last("requests like this one crash backends"), "fingerprint"),
                 value(last("requests like this one crash backends"), "prompt_parts")
             ),
+            "not-run: evacuated" => {
+                "not run; all backends of its service are in evacuated failure domains".to_owned()
+            }
             "not-run: no-backend" => "not run; no backend of its service was listed".to_owned(),
             "not-run: refused-by-backends" => {
                 "not run; every backend that was asked refused it".to_owned()
