Check that no two gateways own a lane of a cold backend

The cases with moving callers did not fail when gateways relied on their claims too early: a gateway that loses its callers sends nothing, so that two owners of a lane did no harm. The model now counts the owners of each lane and has callers that spread to gateways without losing the others. Nothing was weakened.

--- a/core/tests/cold_backends.rs
+++ b/core/tests/cold_backends.rs
@@ -35,6 +35,8 @@
     Moving(u64),
     /// The fifth that has all callers moves on by one gateway after each of these intervals.
     Drifting(u64),
+    /// A fifth of the gateways has many callers all the time, and the others in every other interval.
+    Spreading(u64),
     /// A gateway has 3 times as many callers as the next fifth, and so on.
     Graded,
 }
@@ -70,6 +72,8 @@
 #[derive(Debug)]
 struct Result {
     most_in_a_second: usize,
+    /// Largest number of lanes that gateways owned at a time, for each that there is.
+    owners_of_a_lane: f64,
     used_share: f64,
 }
 
@@ -123,6 +127,10 @@
                 let is_busy = (index + self.gateways - first) % self.gateways < fifth;
                 if is_busy { self.total_per_s() / fifth as f64 } else { 0.0 }
             }
+            Callers::Spreading(interval_ms) => {
+                let is_spread = (now_ms / interval_ms) % 2 == 1;
+                if group == 0 || is_spread { self.total_per_s() / fifth as f64 } else { 0.0 }
+            }
             Callers::Graded => {
                 let weight = |group: usize| 3.0_f64.powi(-(group as i32));
                 let total: f64 = (0..groups).map(|group| weight(group) * members(group)).sum();
@@ -140,7 +148,7 @@
         // Claims of gateways that have stopped are on their way for some time.
         let mut stopped: Vec<(u64, Gateway)> = Vec::new();
         let mut arrived = vec![Vec::new(); self.backends];
-        let mut replaced = 0;
+        let (mut replaced, mut most_owned) = (0, 0_usize);
         let plan = LanePlan::from(self.rate);
         let end_ms = WARM_UP_MS + self.length_ms;
         for now_ms in (0..end_ms).step_by(STEP_MS as usize) {
@@ -167,6 +175,10 @@
                     gateway.limits.divide_cold(backend, &id, plan, &competitors, now_ms);
                 }
             }
+            if now_ms.is_multiple_of(SAMPLE_MS) {
+                let owned = all.iter().map(|gateway| gateway.limits.cold_lanes_owned()).sum();
+                most_owned = most_owned.max(owned);
+            }
             for (index, gateway) in all.iter_mut().enumerate() {
                 let expected = self.demand_per_s(index, now_ms) * STEP_MS as f64 / MS_PER_S;
                 let count = expected as u64 + u64::from(rng.random_bool(expected.fract()));
@@ -183,7 +195,9 @@
         let seconds = (end_ms - used_from_ms) as f64 / MS_PER_S;
         let used_share = used.count() as f64 / (seconds * self.rate.per_s * self.backends as f64);
         let most_in_a_second = arrived.into_iter().map(most_in_a_second).max().unwrap_or_default();
-        Result { most_in_a_second, used_share }
+        let lanes = plan.lanes() as usize * self.backends;
+        let owners_of_a_lane = most_owned as f64 / lanes.max(1) as f64;
+        Result { most_in_a_second, owners_of_a_lane, used_share }
     }
 
     /// Gateways receive what all have announced up to `MAX_DELAY_MS` before.
@@ -233,6 +247,8 @@
         println!("{self:?}: {result:?}");
         let most = result.most_in_a_second;
         assert!(most as f64 <= self.rate.bound(), "{self:?}: {most} requests in a second");
+        // Only gateways that hear each other can tell who owns a lane.
+        assert!(self.cut.is_some() || result.owners_of_a_lane <= 1.0, "{self:?}: {result:?}");
         result
     }
 
@@ -322,6 +338,18 @@
     }
 }
 
+/// Guards against gateways that take a share of callers who are new to them while those that had it before
+/// do not know yet and have requests left.
+#[test]
+fn spreading_callers() {
+    for gateways in [3, 40, 360] {
+        for interval_ms in [3_000, 6_000, 12_000] {
+            let callers = Callers::Spreading(interval_ms);
+            Play { gateways, callers, length_ms: 30_000, ..ONE }.check();
+        }
+    }
+}
+
 /// Guards against gateways that each take the whole rate when they are cut off from each other.
 #[test]
 fn cut_off_gateways() {
