Explain requests that are rejected because all backends are cold

currantlink explain named a rate limit for them, since the outcome is the same. It now looks at the line of the gateway.

--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -45,6 +45,7 @@
         line.and_then(|line| line.get(key)).unwrap_or("unknown").to_owned()
     };
     let failed = last("attempt failed");
+    let cold = last("backends are cold and at their limits");
     let failed_attempt = || format!("{} ({})", value(failed, "backend"), value(failed, "error"));
     if let Some(interrupted) = last("stream ended early") {
         let event = value(Some(interrupted), "last_event");
@@ -70,6 +71,11 @@
             ),
             "not-run: late" => "not run; its first event would have come too late".to_owned(),
             "not-run: full" => full_cause(last("backends full")),
+            "not-run: rate-limited" if cold.is_some() => format!(
+                "not run; its backends were cold and got as much as they tolerate, the next one takes a \
+                 request after {} ms",
+                value(cold, "wait_ms")
+            ),
             "not-run: rate-limited" => format!(
                 "not run; its backends were at the rate limits that they name, the next one for {} ms",
                 value(last("backends at their rate limits"), "wait_ms")
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -30,6 +30,8 @@
 2026-12-05T09:40:01.100Z INFO currantlink_daemon::placement msg="request placed" request=stream-16 route=resumable backend=model-3 load=10 report_age_ms=9 candidates=16 queue_limit=0 running_limit=12 tried=0 config_version=83
 2026-12-05T09:40:03.000Z INFO currantlink_daemon::request_handler msg="request rejected" request=stream-16 outcome=no-event status=504 after_ms=1900
 2026-12-05T09:40:04.000Z INFO currantlink_daemon::stream_relay msg="stream ended early" request=stream-17 reason=no-event after_ms=4100 last_event=8
+2026-12-06T07:10:02.500Z INFO currantlink_daemon::placement msg="backends are cold and at their limits" request=plain-18 wait_ms=212 route=once
+2026-12-06T07:10:02.500Z INFO currantlink_daemon::request_handler msg="request rejected" request=plain-18 outcome="not-run: rate-limited" status=503 after_ms=0
 "#;
 
 fn explain(request: &str) -> (bool, String, String) {
@@ -85,6 +87,15 @@
     assert_eq!(out.lines().last(), Some(cause));
 }
 
+/// Guards against a cause that names a rate limit although the backends are cold.
+#[test]
+fn cold_backends() {
+    let (_, out, _) = explain("plain-18");
+    let cause = "cause: not run; its backends were cold and got as much as they tolerate, the next one \
+                 takes a request after 212 ms";
+    assert_eq!(out.lines().last(), Some(cause));
+}
+
 #[test]
 fn caller_left() {
     let (_, out, _) = explain("stream-13");
