--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -36,6 +36,8 @@
     None,
     /// The request is refused with status 503 and is not run.
     Refuse,
+    /// The response has a body of this many bytes.
+    Large(usize),
     /// The request is refused as by `Refuse`, with a body that does not end.
     RefuseEndlessly,
     /// The request is run and the response has status 500.
@@ -456,6 +458,10 @@
                 Ok(false)
             }
             Fault::Reset => self.reset(stream, &signed_headers, body.as_bytes()).await,
+            Fault::Large(len) => {
+                write_response(stream, "200 OK", &signed_headers, &vec![b'x'; len]).await?;
+                Ok(true)
+            }
             Fault::FailResumed(status, body)
                 if request.header(names::LAST_EVENT_ID.as_str()).is_some() =>
             {
