Bound the memory and descriptors that callers make a gateway hold

Cause: nothing bounded bodies, buffered responses and connections of callers together; a body was held as a list of chunks and copied into one buffer at its end.

core/memory_budget is one account of all connections of callers, derived from memory_mb and max_fds. daemon/caller_limits reserves from it before bytes are read and holds a body once, in one buffer. If a reservation does not fit, connections whose peers have moved less than 16 KiB in 250 ms give way: an unfinished body is rejected with 503 (not run), other connections are closed. The listener waits for room instead of failing. Declared lengths over the limit are rejected before the body is read.

Also: histograms are summarized at an interval, the idle lifetime of a connection to a backend is clamped (an absurd Keep-Alive overflowed), and idle connections to backends are bounded by max_fds.

Ruled out: reserving declared bodies in steps, since bodies that each wait for their last part would keep each other waiting.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod map;
 pub mod map_shape;
 pub mod membership;
+pub mod memory_budget;
 pub mod pace;
 pub mod patience;
 pub mod pauses;
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -8,12 +8,14 @@
 use bytes::Bytes;
 use currantlink_core::fleet::{FleetKey, Member};
 use currantlink_core::ids::WorkspaceName;
+use currantlink_core::memory_budget::Purpose;
 use currantlink_core::pauses::UNREADABLE_PAUSE;
 use currantlink_core::retry::{NextAction, Outcome, RetryState};
 use currantlink_platform::request::{self, BackendRequest};
 use currantlink_platform::response::{self, NamedRate, RequestedPause, ResponseMetadata};
 use http::{Method, Response};
 
+use crate::caller_limits::HeldBuffer;
 use crate::clock::now_ms;
 use crate::placement::Placement;
 use crate::pool::InFlightGuard;
@@ -442,14 +444,29 @@
         let BackendResponse { head, metadata, mut upstream, in_flight, .. } = *response;
         let mut framing = head.framing;
         let reading = async {
-            let mut body = bytes::BytesMut::new();
+            let declared = declared_bytes(framing);
+            let too_large = UpstreamError::Malformed { detail: "response body is too large" };
+            if declared.is_some_and(|bytes| bytes > MAX_RESPONSE_BYTES) {
+                return Err(too_large);
+            }
+            let body = HeldBuffer::begin(
+                &call.connection,
+                Purpose::Response,
+                declared,
+                MAX_RESPONSE_BYTES,
+                call.deadline,
+            );
+            let mut body = body.await.ok_or_else(no_memory)?;
             while let Some(chunk) = upstream.read_body(&mut framing).await? {
-                body.extend_from_slice(&chunk);
-                if body.len() > MAX_RESPONSE_BYTES {
-                    return Err(UpstreamError::Malformed { detail: "response body is too large" });
+                if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                    return Err(too_large);
+                }
+                if !body.reserve(chunk.len(), call.deadline).await {
+                    return Err(no_memory());
                 }
+                body.extend(&chunk);
             }
-            Ok(body.freeze())
+            Ok(body.finish())
         };
         let body = match tokio::time::timeout_at(call.deadline, reading).await {
             Ok(body) => body?,
@@ -490,6 +507,20 @@
     }
 }
 
+/// Returns the length of a body, if its head declares it.
+fn declared_bytes(framing: Framing) -> Option<usize> {
+    match framing {
+        Framing::Length(bytes) => Some(usize::try_from(bytes).unwrap_or(usize::MAX)),
+        Framing::Done => Some(0),
+        Framing::Chunked { .. } | Framing::UntilClose => None,
+    }
+}
+
+/// Returns the error for a response that finds no memory by the deadline of its request.
+fn no_memory() -> UpstreamError {
+    std::io::Error::new(std::io::ErrorKind::TimedOut, "no memory for the response").into()
+}
+
 /// Logs that a backend did not run a request, and the pause that it requests.
 fn log_refusal(call: &Call, backend: &str, metadata: &ResponseMetadata) {
     let pause_ms = match metadata.pause {
--- a/daemon/src/caller_stream.rs
+++ b/daemon/src/caller_stream.rs
@@ -1,30 +1,64 @@
 //! Connection of a caller whose close can be awaited while the HTTP server uses the connection.
 
+use std::cell::Cell;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use currantlink_core::memory_budget::Phase;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_limits::CallerConnection;
+
 /// A caller's connection. Clones share the socket.
 #[derive(Clone)]
-pub struct CallerStream(Rc<TcpStream>);
+pub struct CallerStream(Rc<Shared>);
+
+struct Shared {
+    stream: TcpStream,
+    connection: CallerConnection,
+    /// Phase of the connection while the caller takes what it is sent.
+    phase: Cell<Phase>,
+    /// Whether the caller has not taken all that it was sent.
+    is_blocked: Cell<bool>,
+}
 
 impl CallerStream {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+    pub fn new(stream: TcpStream, connection: CallerConnection) -> Self {
+        let (phase, is_blocked) = (Cell::new(Phase::Idle), Cell::new(false));
+        Self(Rc::new(Shared { stream, connection, phase, is_blocked }))
+    }
+
+    /// Records what the connection waits for, apart from a caller that does not take a response.
+    pub fn set_phase(&self, phase: Phase) {
+        self.0.phase.set(phase);
+        if !self.0.is_blocked.get() {
+            self.0.connection.set_phase(phase);
+        }
+    }
+
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Pending if !self.0.is_blocked.replace(true) => {
+                self.0.connection.set_phase(Phase::Sending);
+            }
+            Poll::Ready(Ok(bytes)) if self.0.is_blocked.get() => {
+                self.0.connection.record_bytes(*bytes);
+            }
+            _ => {}
+        }
     }
 
     /// Waits until the caller closes the connection, although bytes may be unread.
     pub async fn closed_by_caller(&self) {
         // Of the events that a socket is registered for, this interest covers only the end of the
         // peer's data. The wait fails only when the runtime shuts down.
-        if let Err(error) = self.0.ready(Interest::PRIORITY).await {
+        if let Err(error) = self.0.stream.ready(Interest::PRIORITY).await {
             log::debug!(error:% = error; "failed to wait for the end of a connection");
         }
     }
@@ -37,8 +71,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(context))?;
+            match self.0.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(len) => {
                     buffer.advance(len);
                     return Poll::Ready(Ok(()));
@@ -56,13 +90,19 @@
         context: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
+        let written = loop {
+            match self.0.stream.poll_write_ready(context) {
+                Poll::Pending => break Poll::Pending,
+                Poll::Ready(Err(error)) => break Poll::Ready(Err(error)),
+                Poll::Ready(Ok(())) => {}
+            }
+            match write(&self.0.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => break Poll::Ready(written),
             }
-        }
+        };
+        self.record_written(&written);
+        written
     }
 }
 
@@ -87,11 +127,15 @@
         true
     }
 
+    /// The server flushes once it has written all that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.is_blocked.replace(false) {
+            self.0.connection.set_phase(self.0.phase.get());
+        }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
--- a/daemon/src/deployment_settings.rs
+++ b/daemon/src/deployment_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use currantlink_core::fanout::LinkRate;
+use currantlink_core::memory_budget::BudgetLimits;
 use currantlink_core::share::RetryBudgetLimits;
 use currantlink_wire::settings::DeployedSettings;
 
@@ -73,6 +74,11 @@
         (bytes_per_ms > 0.0).then_some(LinkRate { bytes_per_ms })
     }
 
+    /// Returns the limits on what callers make this process hold.
+    pub fn budget_limits(&self) -> BudgetLimits {
+        BudgetLimits::new(self.raw.memory_mb, self.raw.max_fds)
+    }
+
     /// Returns the grace period, which is the time from SIGTERM until the process must have exited.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.raw.grace_s)
--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use currantlink_core::memory_budget::Phase as BudgetPhase;
 use currantlink_platform::names;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -13,20 +15,34 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::io::AsyncReadExt as _;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::io::InspectReader;
 
+use crate::caller_limits::CallerConnection;
 use crate::caller_stream::CallerStream;
+use crate::rejection::Rejected;
 use crate::request_handler::Gateway;
 use crate::response_body::ResponseBody;
 use crate::sockets;
 
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Delay after a failed accept, for example if file descriptors are exhausted.
+/// Memory of a connection beside the server's buffer for reading: what it writes, its task, and the
+/// head of its request.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Linux error codes for too many descriptors of the process and of the machine.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+/// Limits of reading from a caller whose request was rejected. A connection that is closed with unread
+/// bytes is reset, which may destroy the response on its way.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 8 << 20;
+const LINGER_BUFFER_BYTES: usize = 16 << 10;
 /// Timeout for reading the header of a page request.
 const PAGE_HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between checks for idle connections and slow headers.
@@ -52,20 +68,22 @@
     open_connections: Rc<Cell<usize>>,
 ) {
     loop {
+        let fixed_bytes = buffer_bytes(&gateway) + CONNECTION_BYTES;
         let accepted = tokio::select! {
             biased;
             _ = phase.wait_for(|&phase| phase == Phase::Closed) => return,
-            accepted = accept(&listener) => accepted,
+            accepted = accept_caller(&gateway, &listener, fixed_bytes) => accepted,
         };
-        let Some(stream) = accepted else {
+        let Some((stream, caller)) = accepted else {
             continue;
         };
         let gateway = Rc::clone(&gateway);
         let mut phase = phase.clone();
         phase.mark_unchanged();
         let open_connection = OpenConnection::begin(&open_connections);
+        let connection = gateway.callers.open(caller, fixed_bytes);
         tokio::task::spawn_local(async move {
-            serve_caller(gateway, stream, phase).await;
+            serve_caller(gateway, stream, connection, phase).await;
             drop(open_connection);
         });
     }
@@ -87,26 +105,44 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    let accepted = listener.accept().await.and_then(|(stream, _)| {
-        sockets::configure(&stream)?;
-        Ok(stream)
-    });
-    match accepted {
-        Ok(stream) => Some(stream),
+/// Accepts a connection of a caller once the budget has room for it.
+async fn accept_caller(
+    gateway: &Gateway,
+    listener: &TcpListener,
+    fixed_bytes: usize,
+) -> Option<(TcpStream, IpAddr)> {
+    gateway.callers.room_for_connection(fixed_bytes).await;
+    match accept(listener).await {
+        Ok(accepted) => Some(accepted),
         Err(error) => {
             log::warn!(error:% = error; "failed to accept a connection");
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            match error.raw_os_error() {
+                Some(EMFILE | ENFILE) => gateway.callers.connection_closed().await,
+                _ => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
             None
         }
     }
 }
 
+async fn accept(listener: &TcpListener) -> io::Result<(TcpStream, IpAddr)> {
+    let (stream, address) = listener.accept().await?;
+    sockets::configure(&stream)?;
+    Ok((stream, address.ip()))
+}
+
+/// Returns the largest size of the server's buffer for reading from a connection.
+fn buffer_bytes(gateway: &Gateway) -> usize {
+    gateway.caller_limits().max_header_bytes.max(MIN_BUFFER_BYTES)
+}
+
 /// Number of active requests on a connection, whether there was any, when the last one ended and when
 /// the header of the next one began.
 struct ConnectionActivity {
     active_requests: Cell<u32>,
     is_used: Cell<bool>,
+    /// Whether the last request was rejected.
+    is_rejected: Cell<bool>,
     idle_since: Cell<Instant>,
     header_since: Cell<Option<Instant>>,
 }
@@ -129,14 +165,15 @@
 }
 
 /// Counts a request as active until its response has been sent or dropped.
-struct ActiveRequest(Rc<ConnectionActivity>);
+struct ActiveRequest(Rc<ConnectionActivity>, CallerStream);
 
 impl ActiveRequest {
-    fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+    fn begin(activity: &Rc<ConnectionActivity>, caller: &CallerStream) -> Self {
+        caller.set_phase(BudgetPhase::Working);
         activity.active_requests.set(activity.active_requests.get() + 1);
         activity.is_used.set(true);
         activity.header_since.set(None);
-        Self(Rc::clone(activity))
+        Self(Rc::clone(activity), caller.clone())
     }
 }
 
@@ -144,10 +181,16 @@
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
         self.0.idle_since.set(Instant::now());
+        self.1.set_phase(BudgetPhase::Idle);
     }
 }
 
-async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+async fn serve_caller(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    budgeted: CallerConnection,
+    mut phase: watch::Receiver<Phase>,
+) {
     let limits = gateway.caller_limits();
     let idle_limit = Duration::from_millis(limits.idle_timeout_ms);
     let header_limit = Duration::from_millis(limits.header_timeout_ms);
@@ -155,24 +198,28 @@
         active_requests: Cell::new(0),
         idle_since: Cell::new(Instant::now()),
         is_used: Cell::new(false),
+        is_rejected: Cell::new(false),
         header_since: Cell::new(None),
     });
     let (service_activity, received) = (Rc::clone(&activity), Rc::clone(&activity));
-    let stream = CallerStream::new(stream);
-    let caller = stream.clone();
+    let stream = CallerStream::new(stream, budgeted.clone());
+    let (mut caller, service_caller) = (stream.clone(), stream.clone());
     let stream = InspectReader::new(stream, move |bytes: &[u8]| received.record_received(bytes));
+    let (service_gateway, service_connection) = (Rc::clone(&gateway), budgeted.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let active = ActiveRequest::begin(&service_activity);
-        let gateway = Rc::clone(&gateway);
+        let active = ActiveRequest::begin(&service_activity, &service_caller);
+        let (gateway, connection) = (Rc::clone(&service_gateway), service_connection.clone());
+        let activity = Rc::clone(&service_activity);
         async move {
-            let response = gateway.serve(request).await;
+            let response = gateway.serve(request, connection).await;
+            activity.is_rejected.set(response.extensions().get::<Rejected>().is_some());
             Ok::<_, Infallible>(response.map(|body| body.with_guard(active)))
         }
     });
     // The server's own limit for reading a header would also close idle connections.
     let connection = http1::Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(buffer_bytes(&gateway))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
@@ -182,11 +229,16 @@
             // A request that has arrived is read before the connection may be closed.
             biased;
             done = &mut connection => {
-                if let Err(error) = done {
-                    log::debug!(error:% = error; "caller connection failed");
+                match done {
+                    Ok(()) if activity.is_rejected.get() && !gateway.is_stopping() => {
+                        linger(&mut caller).await;
+                    }
+                    Ok(()) => {}
+                    Err(error) => log::debug!(error:% = error; "caller connection failed"),
                 }
                 return;
             }
+            () = budgeted.gives_way_now() => return,
             // The server does not notice the close while it holds bytes that follow the request.
             () = caller.closed_by_caller() => {
                 log::debug!("connection closed by the caller");
@@ -213,6 +265,22 @@
     }
 }
 
+/// Reads and discards what a caller still sends, until it closes the connection.
+async fn linger(caller: &mut CallerStream) {
+    let reading = async {
+        let (mut scrap, mut total) = (vec![0; LINGER_BUFFER_BYTES], 0);
+        while total < LINGER_BYTES {
+            match caller.read(&mut scrap).await {
+                Ok(0) | Err(_) => return,
+                Ok(read) => total += read,
+            }
+        }
+    };
+    if tokio::time::timeout(LINGER_TIMEOUT, reading).await.is_err() {
+        log::debug!("caller still sends after its request was rejected");
+    }
+}
+
 /// Serves the pages that `page` returns by path, and status 404 for other paths, until the process
 /// exits.
 pub async fn serve_pages(
@@ -221,8 +289,13 @@
 ) {
     let page = Rc::new(page);
     loop {
-        let Some(stream) = accept(&listener).await else {
-            continue;
+        let stream = match accept(&listener).await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "failed to accept a connection");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let page = Rc::clone(&page);
         let service = service_fn(move |request: Request<Incoming>| {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backend_follower;
 pub mod backend_reader;
 pub mod call;
+pub mod caller_limits;
 pub mod caller_stream;
 pub mod callers;
 pub mod clock;
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connection pool with in-flight request counts per backend.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,12 +18,17 @@
 /// Idle lifetime of a connection if the backend advertises no idle timeout. Such a backend closes
 /// idle connections within a second.
 const UNADVERTISED_IDLE_LIFETIME: Duration = Duration::from_millis(250);
+/// Longest idle lifetime. A backend may advertise a timeout that no point in time can express.
+const MAX_IDLE_LIFETIME: Duration = Duration::from_secs(3_600);
 
 /// Idle connections and in-flight requests, by backend.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     backends: Rc<RefCell<IndexMap<FleetKey, BackendState>>>,
     changed: Rc<Notify>,
+    idle_count: Rc<Cell<usize>>,
+    /// Largest number of idle connections, if limited.
+    idle_limit: Rc<Cell<Option<usize>>>,
 }
 
 /// This process's requests at a backend.
@@ -69,6 +74,7 @@
         let backend = backends.get_mut(&self.key)?;
         let now = Instant::now();
         while let Some((upstream, usable_until)) = backend.idle.pop() {
+            self.pool.idle_count.update(|count| count - 1);
             if now < usable_until && upstream.is_reusable() {
                 return Some(upstream);
             }
@@ -92,15 +98,24 @@
         InFlightGuard { pool: self.clone(), key }
     }
 
+    /// Limits the number of idle connections. Above the limit, connections are closed after use.
+    pub fn set_idle_limit(&self, limit: Option<usize>) {
+        self.idle_limit.set(limit);
+    }
+
     /// Keeps a connection to a backend for reuse while the backend keeps it open.
     pub fn put_idle(&self, key: FleetKey, upstream: Upstream, keep: KeepAlive) {
+        if self.idle_limit.get().is_some_and(|limit| self.idle_count.get() >= limit) {
+            return;
+        }
         let lifetime = match keep {
             KeepAlive::Close => return,
             KeepAlive::Timeout(timeout) => timeout.saturating_sub(IDLE_TIMEOUT_MARGIN),
             KeepAlive::Unspecified => UNADVERTISED_IDLE_LIFETIME,
         };
         if let Some(backend) = self.backends.borrow_mut().get_mut(&key) {
-            backend.idle.push((upstream, Instant::now() + lifetime));
+            backend.idle.push((upstream, Instant::now() + lifetime.min(MAX_IDLE_LIFETIME)));
+            self.idle_count.update(|count| count + 1);
         }
     }
 
@@ -148,6 +163,7 @@
     /// Closes the idle connections to a backend.
     pub fn close_idle(&self, key: FleetKey) {
         if let Some(backend) = self.backends.borrow_mut().get_mut(&key) {
+            self.idle_count.update(|count| count - backend.idle.len());
             backend.idle.clear();
         }
     }
@@ -155,9 +171,11 @@
     /// Closes expired idle connections and removes backends for which `known` returns false.
     pub fn evict(&self, known: impl Fn(FleetKey) -> bool) {
         let now = Instant::now();
-        self.backends.borrow_mut().retain(|&key, backend| {
+        let mut backends = self.backends.borrow_mut();
+        backends.retain(|&key, backend| {
             backend.idle.retain(|(_, usable_until)| now < *usable_until);
             known(key) || backend.in_flight > 0
         });
+        self.idle_count.set(backends.values().map(|backend| backend.idle.len()).sum());
     }
 }
--- a/daemon/src/rejection.rs
+++ b/daemon/src/rejection.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error, From};
 use http::{HeaderValue, Response, StatusCode, header};
 
+use crate::caller_limits::BodyError;
 use crate::response_body::ResponseBody;
 
 const MS_PER_S: f64 = 1_000.0;
@@ -91,13 +92,57 @@
     /// The process is shutting down.
     #[display("stopping")]
     Stopping,
+    /// The gateway has no memory for the request body.
+    #[display("no-memory")]
+    NoMemory,
+    /// The request body stood still while memory was short.
+    #[display("slow-body")]
+    SlowBody,
 }
 
+/// Range of the retry delay of a request for whose body there is no memory, in milliseconds. Uploads that
+/// stand still have given way by then, and the callers return one after the other.
+const MEMORY_RETRY_AFTER_MS: std::ops::Range<u64> = 500..1_500;
+
 /// Retry delay while no configuration is known. A gateway reads its configuration within this time
 /// after its start.
 pub const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+impl From<BodyError> for Rejection {
+    fn from(error: BodyError) -> Self {
+        let not_run = |reason| {
+            let retry_after = Duration::from_millis(rand::random_range(MEMORY_RETRY_AFTER_MS));
+            Rejection::NotRun { reason, retry_after }
+        };
+        match error {
+            BodyError::TooLarge => Rejection::BodyTooLarge,
+            BodyError::Broken(error) => {
+                log::debug!(error:% = error; "request body ended early");
+                Rejection::BodyIncomplete
+            }
+            BodyError::Late => Rejection::BodyTimeout,
+            BodyError::NoMemory => not_run(NotRunReason::NoMemory),
+            BodyError::GaveWay => not_run(NotRunReason::SlowBody),
+        }
+    }
+}
+
+/// Marks the response to a request that was rejected: its body may not have been read.
+#[derive(Clone, Copy, Debug)]
+pub struct Rejected;
+
 impl Rejection {
+    /// Returns whether the rest of the request is not read, so that the connection has to be closed.
+    fn closes_connection(&self) -> bool {
+        match self {
+            Rejection::BodyTooLarge | Rejection::BodyTimeout => true,
+            Rejection::NotRun { reason, .. } => {
+                matches!(reason, NotRunReason::NoMemory | NotRunReason::SlowBody)
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the HTTP status for this rejection.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -128,6 +173,10 @@
     pub fn response(&self) -> Response<ResponseBody> {
         let mut response = Response::new(ResponseBody::from_text(format!("{self}\n")));
         *response.status_mut() = self.status();
+        response.extensions_mut().insert(Rejected);
+        if self.closes_connection() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(wait) = self.retry_after() {
             let seconds = format!("{:.3}", wait.as_millis() as f64 / MS_PER_S);
             match HeaderValue::try_from(seconds) {
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -23,13 +23,13 @@
 use currantlink_platform::request::{self, RequestMetadata};
 use currantlink_wire::peers::Leaving;
 use http::{HeaderMap, Method, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::attempts::{Dispatched, caller_response};
+use crate::caller_limits::{self, CallerBudget, CallerConnection};
 use crate::clock::now_ms;
 use crate::crash_ledger::{CrashLedger, RequestKeys};
 use crate::crashes::UnexplainedLoss;
@@ -64,6 +64,7 @@
     pub(crate) rates: Arc<SharedRates>,
     leaving: mpsc::UnboundedSender<Leaving>,
     pub(crate) pool: ConnectionPool,
+    pub(crate) callers: CallerBudget,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
     pub(crate) turns: Turns,
@@ -116,6 +117,8 @@
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Option<Bytes>,
+    /// Connection of the caller, on whose account the request holds memory.
+    pub(crate) connection: CallerConnection,
     pub(crate) workspace: Option<WorkspaceName>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) urgency: u8,
@@ -189,7 +192,7 @@
     pub fn new(settings: GatewaySettings, shared: SharedState) -> Self {
         let SharedState { snapshot, load_reports, stated_limits, crashes, trials, rates, leaving } =
             shared;
-        Self {
+        let gateway = Self {
             settings: RefCell::new(Rc::new(settings)),
             snapshot,
             load_reports,
@@ -199,13 +202,22 @@
             rates,
             leaving,
             pool: ConnectionPool::default(),
+            callers: CallerBudget::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
             turns: Turns::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
             answer_by: watch::Sender::default(),
-        }
+        };
+        gateway.apply_budget();
+        gateway
+    }
+
+    fn apply_budget(&self) {
+        let limits = self.settings().common.budget_limits();
+        self.callers.set_limits(limits);
+        self.pool.set_idle_limit(limits.idle_backends());
     }
 
     /// Returns the current settings.
@@ -216,6 +228,7 @@
     /// Replaces the settings.
     pub fn set_settings(&self, settings: GatewaySettings) {
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.apply_budget();
     }
 
     /// Returns the requests that have not been answered completely.
@@ -291,6 +304,7 @@
         observations.leaving.retain(|&key| known(key));
         observations.refused_until_ms.retain(|&key, _| known(key));
         self.stated_limits.retain(known);
+        self.callers.record_metrics();
     }
 
     /// Determines which of the backends with an agent are silent.
@@ -315,7 +329,11 @@
     }
 
     /// Serves one request and returns the response for the caller.
-    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    pub async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: CallerConnection,
+    ) -> Response<ResponseBody> {
         let arrived_at = Instant::now();
         let metadata = request::decode(request.headers());
         let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
@@ -324,7 +342,8 @@
         let progress = Progress::new(arrived_at);
         let departure =
             Departure::watch(Rc::clone(&self), attempt_id.clone(), arrived_at, progress.clone());
-        let handled = Rc::clone(&self).handle(request, metadata, arrived_at, progress).await;
+        let handling = Rc::clone(&self).handle(request, connection, metadata, arrived_at, progress);
+        let handled = handling.await;
         let mut response = match handled {
             Ok(response) => response,
             Err(rejection) => {
@@ -348,11 +367,12 @@
     async fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
+        connection: CallerConnection,
         metadata: RequestMetadata,
         arrived_at: Instant,
         progress: Progress,
     ) -> Result<Response<ResponseBody>, Rejection> {
-        let call = self.admit(request, metadata, arrived_at, progress).await?;
+        let call = self.admit(request, connection, metadata, arrived_at, progress).await?;
         if !self.accepts(&call) {
             return Err(self.not_run_rejection(&call, NotRunReason::Stopping));
         }
@@ -398,6 +418,7 @@
     async fn admit(
         &self,
         request: Request<Incoming>,
+        connection: CallerConnection,
         metadata: RequestMetadata,
         arrived_at: Instant,
         progress: Progress,
@@ -416,7 +437,12 @@
         })?;
         let limit_ms = metadata.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let deadline = arrived_at + Duration::from_millis(limit_ms);
-        let body = self.read_request_body(body, table.limits().max_body_bytes, deadline).await?;
+        if let Some(workspace) = admitted.workspace.as_deref() {
+            connection.set_workspace(workspace);
+        }
+        let limit_bytes = table.limits().max_body_bytes;
+        let body =
+            caller_limits::read_request_body(&connection, body, limit_bytes, deadline).await?;
         let is_client_retry = self.is_client_retry(route, &metadata);
         let service = table.pool(service_key).name.clone();
         self.with_retry_share(service, |share| share.record_request(now_ms()));
@@ -440,6 +466,7 @@
             target,
             headers: parts.headers,
             body,
+            connection,
             workspace,
             fingerprint,
             urgency: urgency(admitted.priority, is_client_retry),
@@ -450,28 +477,6 @@
         })
     }
 
-    async fn read_request_body(
-        &self,
-        body: Incoming,
-        limit_bytes: usize,
-        deadline: Instant,
-    ) -> Result<Option<Bytes>, Rejection> {
-        use hyper::body::Body as _;
-        if body.is_end_stream() {
-            return Ok(None);
-        }
-        let reading = Limited::new(body, limit_bytes).collect();
-        match tokio::time::timeout_at(deadline, reading).await {
-            Ok(Ok(read)) => Ok(Some(read.to_bytes())),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::BodyTooLarge),
-            Ok(Err(error)) => {
-                log::debug!(error:% = error; "request body ended early");
-                Err(Rejection::BodyIncomplete)
-            }
-            Err(_) => Err(Rejection::BodyTimeout),
-        }
-    }
-
     /// Returns whether a request returns after a rejection.
     fn is_client_retry(&self, route: &Route, metadata: &RequestMetadata) -> bool {
         let mut observations = self.observations.borrow_mut();
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -27,6 +27,9 @@
 /// stream.
 const MIN_PAUSES: u32 = 4;
 
+/// Largest piece of a stream that counts as part of the connection's buffers.
+const BUFFERED_EVENT_BYTES: usize = 16 << 10;
+
 /// An event stream that is being relayed to a caller.
 pub struct RelayedStream {
     gateway: Rc<Gateway>,
@@ -129,6 +132,12 @@
                     if backend_stream.answer.has_begun() {
                         self.call.end_trial();
                     }
+                    let events = match events.len() {
+                        len if len > BUFFERED_EVENT_BYTES => {
+                            self.call.connection.hold_response(events)
+                        }
+                        _ => events,
+                    };
                     return Some(Ok(events));
                 }
                 StreamRead::End => {
