Divide the slots of backends among gateways by demand

Cause: between two reports all gateways know the same loads. Each compared its own sample of backends and took the least loaded, so backends were filled in turn while others had free slots; room under overload was divided equally although callers are uneven.

Each slot now belongs to one gateway, by its announced request rate and a hash of the backend's address. A gateway sends first where it uses fewer slots than it owns, which needs no news of the others, then as before. Gateways that compete for the room of reports divide it exactly, by the reports' number as before, but in proportion to the rates. No message and no query are added. LoadReport has two more fields; core/tests/least_loaded.rs and overload.rs are unchanged.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -70,6 +70,10 @@
     pub interval_ms: f64,
     /// Random number that the report names, plus the rank of this gateway among all gateways.
     pub draw: u64,
+    /// Random number that the report names, by which its room is divided in proportion to demand.
+    pub room_number: u16,
+    /// Number of the backend, the same at all gateways, by which its slots are divided.
+    pub backend_number: u16,
 }
 
 impl LoadReport {
@@ -126,13 +130,17 @@
         Some(limits.max_load(self).saturating_sub(report.requests()))
     }
 
-    /// Returns whether the backend takes another request, if `competing` gateways use the same report.
+    /// Returns whether the backend takes another request, if other gateways use the same report.
     ///
-    /// The room that a report shows is divided among them, so that they do not all fill it. The room
-    /// that a gateway's own requests leave is its own.
-    fn has_room(&self, limits: Limits, competing: usize) -> bool {
-        let share = match (self.reported_room(limits), self.report) {
-            (Some(room), Some(report)) => share_of_room(room, competing, report.draw),
+    /// `share` returns this gateway's share of the room that a report shows, which is divided among all, so
+    /// that they do not all fill it. The room that a gateway's own requests leave is its own.
+    pub(crate) fn has_room(
+        &self,
+        limits: Limits,
+        share: impl FnOnce(u32, &LoadReport) -> u32,
+    ) -> bool {
+        let share = match (self.reported_room(limits), &self.report) {
+            (Some(room), Some(report)) => share(room, report),
             (None, _) | (_, None) => limits.max_load(self),
         };
         self.load() < limits.max_load(self)
@@ -217,6 +225,20 @@
     competing: usize,
     sample_size: usize,
     draw: u64,
+) -> Choice {
+    let has_room = |c: &Candidate| {
+        c.has_room(limits, |room, report| share_of_room(room, competing, report.draw))
+    };
+    choose_where(candidates, limits, has_room, sample_size, draw)
+}
+
+/// Selects as [`choose`] among the candidates that have room.
+pub(crate) fn choose_where(
+    candidates: &[Candidate],
+    limits: Limits,
+    has_room: impl Fn(&Candidate) -> bool,
+    sample_size: usize,
+    draw: u64,
 ) -> Choice {
     let forming = |c: &Candidate| c.report.is_some_and(|r| !r.is_serving);
     let usable: Vec<&Candidate> = candidates.iter().filter(|c| !forming(c)).collect();
@@ -228,12 +250,12 @@
     shuffle(&mut healthy, draw);
     shuffle(&mut ejected, draw);
     let with_room = |candidates: &[&Candidate]| -> Option<FleetKey> {
-        let has_room = candidates.iter().filter(|c| c.has_room(limits, competing));
+        let has_room = candidates.iter().filter(|c| has_room(c));
         least_loaded(&has_room.copied().collect::<Vec<_>>()).map(|candidate| candidate.key)
     };
     let sample = &healthy[..sample_size.min(healthy.len())];
     // The least loaded of all would be the same one for all gateways.
-    let any_with_room = || healthy.iter().find(|c| c.has_room(limits, competing)).map(|c| c.key);
+    let any_with_room = || healthy.iter().find(|c| has_room(c)).map(|c| c.key);
     let chosen = with_room(sample).or_else(any_with_room).or_else(|| with_room(&ejected));
     if let Some(key) = chosen {
         return Choice::Send(key);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demand;
 pub mod durations;
 pub mod election;
+pub mod even_load;
 pub mod events;
 pub mod evidence;
 pub mod exchange;
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use currantlink_core::even_load::backend_number;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
@@ -470,8 +471,18 @@
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
+        let room_number = draw as u16;
         let draw = u64::from(draw) + self.division_rank;
-        let report = LoadReport { active, queued, is_serving, received_at_ms, interval_ms, draw };
+        let report = LoadReport {
+            active,
+            queued,
+            is_serving,
+            received_at_ms,
+            interval_ms,
+            draw,
+            room_number,
+            backend_number: backend_number(&load.backend_address),
+        };
         self.shared.load_reports.record(address, report);
     }
 
--- a/daemon/src/gateway_rates.rs
+++ b/daemon/src/gateway_rates.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use currantlink_core::even_load::GatewayShare;
 use currantlink_core::gateway_rates::{GatewayRates, ServiceRate};
 use currantlink_wire::peers::Demand;
 
@@ -28,6 +29,13 @@
         self.lock().others_sum_per_s(service, now_ms())
     }
 
+    /// Returns the share of this gateway, named `own`, in the slots of a service's backends, or `None` if no
+    /// other gateway is known.
+    pub fn share(&self, own: &str, service: &str) -> Option<GatewayShare> {
+        let (state, now) = (self.lock(), now_ms());
+        GatewayShare::new(own, state.own_per_s(service, now), state.others_per_s(service, now))
+    }
+
     /// Records the rates in another gateway's hello message.
     pub fn learn(&self, gateway: &str, demands: Vec<Demand>) {
         let rates = demands.into_iter().map(|demand| ServiceRate {
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use currantlink_core::concurrency::StreamPauses;
+use currantlink_core::even_load::{self, Competition, GatewayShare, Selection};
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
 use currantlink_core::stream_pace::StreamPace;
@@ -115,9 +116,15 @@
             self.rates.own_per_s(service) / MS_PER_S,
             self.turns.count(service) > 0,
         );
-        match least_loaded::choose(&candidates, limits, competing, sample_size, rand::random()) {
+        let share = self.rates.share(self.settings().common.name(), service);
+        let competition = Competition { share, competing, sample_size };
+        let Selection { choice, is_own_slot } =
+            even_load::choose(&candidates, limits, competition, rand::random());
+        match choice {
             Choice::Send(key) => {
                 self.stated_limits.record_request(key);
+                let slot = if is_own_slot { "own" } else { "common" };
+                metrics::counter!("currantlink_placed_total", "slot" => slot).increment(1);
                 let chosen = candidates.iter().find(|candidate| candidate.key == key);
                 let load = chosen.map(Candidate::load);
                 let report_age_ms = chosen.and_then(|c| c.report).map(|r| r.age_ms(now));
@@ -125,7 +132,8 @@
                 let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
-                    running_limit, tried = tried.len(), returned = call.is_client_retry,
+                    slot, share = share.map(GatewayShare::size), running_limit,
+                    tried = tried.len(), returned = call.is_client_retry,
                     waited_ms = call.arrived_at.elapsed().as_millis() as u64,
                     unheard_ms = call.progress.unheard().as_millis() as u64,
                     start_ms = self.start_ms(call) as u64,
