--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod durations;
 pub mod election;
 pub mod evacuation;
+pub mod even_load;
 pub mod events;
 pub mod evidence;
 pub mod exchange;
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use currantlink_core::cold::ReturnDetector;
 use currantlink_core::evacuation::{Evacuations, Reading};
+use currantlink_core::even_load::backend_number;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
@@ -535,6 +536,7 @@
         let is_serving = is_open && !is_stalled;
         let interval_ms = agent::LOAD_INTERVAL_MS as f64;
         let received_at_ms = now_ms();
+        let room_number = draw as u16;
         let draw = u64::from(draw) + self.division_rank;
         let pace = f64::from(pace);
         let report = LoadReport {
@@ -546,6 +548,8 @@
             draw,
             pace,
             is_last,
+            room_number,
+            backend_number: backend_number(&load.backend_address),
         };
         let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
         if self.returns.record_report(before_ms, received_at_ms) {
