--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -28,6 +28,17 @@
     assert!(!fleet.observe("a", present(1, 1), 10));
 }
 
+/// Guards against a changed failure domain that takes effect only at the next change of another kind:
+/// an evacuation goes by the domain.
+#[test]
+fn other_failure_domain() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.observe("a", present(1, 1), 0));
+    let moved = Announcement { failure_domain: "b".into(), ..announcement(1, 1) };
+    assert!(fleet.observe("a", Observation::Present(moved.clone()), 10));
+    assert!(!fleet.observe("a", Observation::Present(moved), 20));
+}
+
 #[test]
 fn draining_stays() {
     let mut fleet = Fleet::default();
