Leave groups whose streams are about to be late

Cause: a service with several groups was balanced by requests alone. One slow rank delays all streams of its group, and new streams went on to it.

Agents fill `group` and `pace` of their load reports. A gateway keeps the pace of streams by group as well as by service, and sends a stream first to a group whose pauses and first events are expected below 0.8 of the route's targets, in proportion to free slots and pace; a group that was left returns within 2 s. If no group is on time or the chosen one has no free slot, all backends are compared as before. Services with one group and requests that are not streams are unaffected.

No daemon test has two groups in one service.

--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -1,6 +1,7 @@
 //! Selects the least loaded backend for a request, or rejects the request, from delayed reports.
 
 use crate::fleet::FleetKey;
+use crate::group_choice::GroupKey;
 use crate::silence::SILENT_AFTER_RANGE_MS;
 
 /// Age at which a load report is discarded.
@@ -74,6 +75,10 @@
     pub room_number: u16,
     /// Number of the backend, the same at all gateways, by which its slots are divided.
     pub backend_number: u16,
+    /// Group of the backend, if it belongs to one.
+    pub group: Option<GroupKey>,
+    /// Factor by which the backend is slower than usual, or 0 if unknown.
+    pub slowdown: f64,
 }
 
 impl LoadReport {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gate;
 pub mod gateway_rates;
 pub mod group;
+pub mod group_choice;
 pub mod health;
 pub mod ids;
 pub mod least_loaded;
--- a/core/src/stream_pace.rs
+++ b/core/src/stream_pace.rs
@@ -78,6 +78,14 @@
         start.map_or(INITIAL_START_MS, |start| (start.mean_ms - start.deviation_ms).max(0.0))
     }
 
+    /// Returns the expected pause between two events, or `None` if no stream is in progress.
+    ///
+    /// The time since the last event is part of a pause that has not ended.
+    pub fn pause_ms(&self, now_ms: u64) -> Option<f64> {
+        let current_ms = now_ms.saturating_sub(self.last_event_ms) as f64;
+        (self.streaming > 0).then(|| self.mean_pause_ms.unwrap_or_default().max(current_ms))
+    }
+
     /// Returns the expected duration of a stream that starts now.
     ///
     /// While streams are in progress, the time since the last event is part of a pause that has not
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -44,6 +44,8 @@
 /// Time without a new forward pass after which a backend with requests counts as stalled. A forward
 /// pass takes some tens of milliseconds.
 const STALL_TIMEOUT_MS: u64 = 400;
+/// Steps per unit in which a slowdown factor is reported.
+const PACE_STEPS: f64 = 10.0;
 
 mod leadership;
 
@@ -146,6 +148,11 @@
     }
 }
 
+/// Rounds a slowdown factor, as each change of a load is reported.
+fn rounded_pace(pace: f64) -> f32 {
+    ((pace * PACE_STEPS).round() / PACE_STEPS) as f32
+}
+
 struct Agent {
     settings: AgentSettings,
     peers: Peers,
@@ -341,7 +348,8 @@
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
             draw: self.division.number(now).into(),
-            ..Load::default()
+            group: state.rank.as_ref().map_or_else(String::new, |rank| rank.group.clone()),
+            pace: rounded_pace(state.pace),
         };
         let sent = self.load_sent.as_ref();
         if sent.is_some_and(|(at, sent)| *sent == load && now < at + LOAD_INTERVAL_MS) {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use currantlink_core::even_load::backend_number;
 use currantlink_core::fleet::Fleet;
+use currantlink_core::group_choice::GroupKey;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
 use currantlink_core::stop::{Closing, Draining, Stop};
@@ -482,6 +483,8 @@
             draw,
             room_number,
             backend_number: backend_number(&load.backend_address),
+            group: GroupKey::new(&load.group),
+            slowdown: f64::from(load.pace),
         };
         self.shared.load_reports.record(address, report);
     }
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -8,13 +8,15 @@
 use currantlink_core::concurrency::StreamPauses;
 use currantlink_core::even_load::{self, Competition, GatewayShare, Selection};
 use currantlink_core::fleet::FleetKey;
+use currantlink_core::group_choice::{self, GroupKey, RelayedPace, Targets};
 use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
+use currantlink_core::pace::pass_ms;
 use currantlink_core::stream_pace::StreamPace;
 use derive_more::From;
 
 use crate::clock::now_ms;
 use crate::rejection::{NotRunReason, Rejection};
-use crate::request_handler::{Call, Gateway};
+use crate::request_handler::{Call, Gateway, Observations};
 use crate::stated_limits::Clearance;
 
 /// Maximum share by which the time until a rate limit takes a request is extended at random.
@@ -37,11 +39,13 @@
 pub struct StreamInProgress {
     gateway: Rc<Gateway>,
     service: String,
+    group: Option<GroupKey>,
 }
 
 impl Drop for StreamInProgress {
     fn drop(&mut self) {
         self.gateway.with_pace(&self.service, StreamPace::end_stream);
+        self.gateway.with_group_pace(self.group, StreamPace::end_stream);
     }
 }
 
@@ -108,18 +112,28 @@
         let limits = Limits { running: self.running_limit(call, now), queued: queue_limit };
         let running_limit = limits.running;
         let gateways = self.snapshot.load().gateway_count;
-        let sample_size = least_loaded::sample_size(candidates.len(), gateways);
-        let competing = least_loaded::competing_gateways(
-            &candidates,
-            limits,
-            gateways,
-            self.rates.own_per_s(service) / MS_PER_S,
-            self.turns.count(service) > 0,
-        );
         let share = self.rates.share(self.settings().common.name(), service);
-        let competition = Competition { share, competing, sample_size };
-        let Selection { choice, is_own_slot } =
-            even_load::choose(&candidates, limits, competition, rand::random());
+        let own_per_ms = self.rates.own_per_s(service) / MS_PER_S;
+        let are_waiting = self.turns.count(service) > 0;
+        let select = |candidates: &[Candidate], limits: Limits| {
+            let sample_size = least_loaded::sample_size(candidates.len(), gateways);
+            let competing = least_loaded::competing_gateways(
+                candidates,
+                limits,
+                gateways,
+                own_per_ms,
+                are_waiting,
+            );
+            let competition = Competition { share, competing, sample_size };
+            even_load::choose(candidates, limits, competition, rand::random())
+        };
+        let preferred = self.preferred_group(call, &candidates, now);
+        // Once its slots are in use, a preferred group is no better than the others.
+        let free = Limits { queued: 0, ..limits };
+        let preferred = preferred.map(|group| select(&members(&candidates, group), free));
+        let sent = preferred.filter(|selection| matches!(selection.choice, Choice::Send(_)));
+        let is_preferred_group = sent.is_some();
+        let Selection { choice, is_own_slot } = sent.unwrap_or_else(|| select(&candidates, limits));
         match choice {
             Choice::Send(key) => {
                 self.stated_limits.record_request(key);
@@ -132,7 +146,7 @@
                 let backend = snapshot.fleet.get(key).map(|member| member.id.as_str());
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
-                    slot, share = share.map(GatewayShare::size), running_limit,
+                    slot, share = share.map(GatewayShare::size), is_preferred_group, running_limit,
                     tried = tried.len(), returned = call.is_client_retry,
                     waited_ms = call.arrived_at.elapsed().as_millis() as u64,
                     unheard_ms = call.progress.unheard().as_millis() as u64,
@@ -337,20 +351,35 @@
     }
 
     /// Records the first event of a stream, `start` after its dispatch.
-    pub(crate) fn record_start(self: &Rc<Self>, call: &Call, start: Duration) -> StreamInProgress {
+    pub(crate) fn record_start(
+        self: &Rc<Self>,
+        call: &Call,
+        key: FleetKey,
+        start: Duration,
+    ) -> StreamInProgress {
         metrics::histogram!("currantlink_first_event_seconds").record(start.as_secs_f64());
         let service = call.service().name.clone();
-        self.with_pace(&service, |pace| {
+        let group = self.group_of(key);
+        let record = |pace: &mut StreamPace| {
             pace.record_start(now_ms(), start.as_secs_f64() * MS_PER_S);
             pace.begin_stream();
-        });
-        StreamInProgress { gateway: Rc::clone(self), service }
+        };
+        self.with_pace(&service, record);
+        self.with_group_pace(group, record);
+        StreamInProgress { gateway: Rc::clone(self), service, group }
     }
 
     /// Records an event of a stream, and the pause before it if there was an earlier one.
-    pub(crate) fn record_event(&self, call: &Call, pause: Option<Duration>) {
+    pub(crate) fn record_event(
+        &self,
+        call: &Call,
+        stream: Option<&StreamInProgress>,
+        pause: Option<Duration>,
+    ) {
         let pause_ms = pause.map(|pause| pause.as_secs_f64() * MS_PER_S);
-        self.with_pace(&call.service().name, |pace| pace.record_event(now_ms(), pause_ms));
+        let record = |pace: &mut StreamPace| pace.record_event(now_ms(), pause_ms);
+        self.with_pace(&call.service().name, record);
+        self.with_group_pace(stream.and_then(|stream| stream.group), record);
     }
 
     fn with_pace<R>(&self, service: &str, update: impl FnOnce(&mut StreamPace) -> R) -> R {
@@ -361,6 +390,48 @@
         }
     }
 
+    fn with_group_pace(&self, group: Option<GroupKey>, update: impl FnOnce(&mut StreamPace)) {
+        if let Some(group) = group {
+            update(self.observations.borrow_mut().group_paces.entry(group).or_default());
+        }
+    }
+
+    fn group_of(&self, key: FleetKey) -> Option<GroupKey> {
+        let snapshot = self.snapshot.load();
+        let address = snapshot.fleet.get(key)?.announcement.address;
+        self.load_reports.get(address)?.group
+    }
+
+    /// Selects the group that a stream should go to, if its service has several and they differ.
+    fn preferred_group(&self, call: &Call, candidates: &[Candidate], now: u64) -> Option<GroupKey> {
+        let engine = call.service().engine.as_ref()?;
+        let targets = Targets {
+            start_ms: call.route().target_ms as f64,
+            pause_ms: call.route().repeat.gap_target_ms()? as f64,
+        };
+        let mut observations = self.observations.borrow_mut();
+        let Observations { group_paces, group_choosers, .. } = &mut *observations;
+        let pass_ms = pass_ms(engine, mean_running(candidates));
+        let relayed = |key| {
+            let pace = group_paces.get(&key).copied().unwrap_or_default();
+            let pause_ms = pace.pause_ms(now).unwrap_or_default();
+            RelayedPace { start_ms: pace.least_start_ms(now), pause_ms }
+        };
+        let groups = group_choice::views(candidates, pass_ms, relayed);
+        if groups.len() < 2 {
+            return None;
+        }
+        let chooser = group_choosers.entry(call.route().name.clone()).or_default();
+        for group in chooser.record_late(&groups, targets, now) {
+            log::info!(route = call.route().name.as_str(), group:% = group.key,
+                pause_ms = group.pause_ms as u64, start_ms = group.start_ms as u64,
+                pause_target_ms = targets.pause_ms as u64, free = group.free;
+                "group is left by new requests");
+            metrics::counter!("currantlink_groups_left_total").increment(1);
+        }
+        chooser.choose(&groups, targets, now, rand::random())
+    }
+
     /// Creates a rejection for a request that no backend has run.
     pub(crate) fn not_run_rejection(&self, call: &Call, reason: NotRunReason) -> Rejection {
         let is_forming = reason == NotRunReason::Forming;
@@ -407,6 +478,12 @@
     Rejection::NotRun { reason: NotRunReason::Paused, retry_after }
 }
 
+/// Returns the candidates that belong to a group.
+fn members(candidates: &[Candidate], group: GroupKey) -> Vec<Candidate> {
+    let is_member = |c: &&Candidate| c.report.is_some_and(|report| report.group == Some(group));
+    candidates.iter().filter(is_member).copied().collect()
+}
+
 fn mean_running(candidates: &[Candidate]) -> f64 {
     let running = candidates.iter().map(|c| c.load().min(c.slots));
     f64::from(running.sum::<u32>()) / candidates.len().max(1) as f64
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -11,6 +11,7 @@
 use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
 use currantlink_core::fleet::{FleetKey, Member};
+use currantlink_core::group_choice::{GroupChooser, GroupKey};
 use currantlink_core::health::Health;
 use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
 use currantlink_core::patience::Patience;
@@ -90,6 +91,10 @@
     pub(crate) durations: IndexMap<String, Durations>,
     /// Pauses between the events of streams in progress, by service.
     pub(crate) stream_pace: IndexMap<String, StreamPace>,
+    /// The same by group.
+    pub(crate) group_paces: IndexMap<GroupKey, StreamPace>,
+    /// Groups that were left recently, by route.
+    pub(crate) group_choosers: IndexMap<String, GroupChooser>,
     pub(crate) unexplained_losses: VecDeque<UnexplainedLoss>,
     pub(crate) first_deadlines: IndexMap<String, FirstDeadlines>,
     /// Time at which a request was last rejected.
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -115,14 +115,14 @@
                     if !backend_stream.answer.has_events() {
                         let start_ms = now_ms() - backend_stream.response.sent_at_ms;
                         let start = Duration::from_millis(start_ms);
-                        self.in_progress = Some(self.gateway.record_start(&self.call, start));
+                        self.in_progress = Some(self.gateway.record_start(&self.call, key, start));
                     }
                     let after_ms = self.call.arrived_at.elapsed().as_millis() as u64;
                     self.first_event_ms.get_or_insert(after_ms);
                     self.call.progress.record_event();
                     let pauses = self.pauses.as_mut();
                     let pause = pauses.and_then(|pauses| pauses.record_event(Instant::now()));
-                    self.gateway.record_event(&self.call, pause);
+                    self.gateway.record_event(&self.call, self.in_progress.as_ref(), pause);
                     if backend_stream.answer.record_event(Instant::now()) {
                         self.gateway.record_sound(&self.call);
                     }
