--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -46,6 +46,8 @@
 /// Time without a new forward pass after which a backend with requests counts as stalled. A forward
 /// pass takes some tens of milliseconds.
 const STALL_TIMEOUT_MS: u64 = 400;
+/// Steps per unit in which a slowdown factor is reported.
+const PACE_STEPS: f64 = 10.0;
 
 mod leadership;
 
@@ -150,6 +152,11 @@
     }
 }
 
+/// Rounds a slowdown factor, as each change of a load is reported.
+fn rounded_pace(pace: f64) -> f32 {
+    ((pace * PACE_STEPS).round() / PACE_STEPS) as f32
+}
+
 struct Agent {
     settings: AgentSettings,
     peers: Peers,
@@ -365,8 +372,8 @@
             is_open: state.rank.as_ref().is_none_or(|rank| rank.is_open),
             is_stalled,
             draw: self.division.number(now).into(),
-            group: state.rank.as_ref().map(|rank| rank.group.clone()).unwrap_or_default(),
-            pace: state.pace as f32,
+            group: state.rank.as_ref().map_or_else(String::new, |rank| rank.group.clone()),
+            pace: rounded_pace(state.pace),
             is_last: self.exit_at_ms.is_some(),
         };
         let sent = self.load_sent.as_ref();
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -16,6 +16,7 @@
 use currantlink_core::evacuation::{Evacuations, Reading};
 use currantlink_core::even_load::backend_number;
 use currantlink_core::fleet::Fleet;
+use currantlink_core::group_choice::GroupKey;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
 use currantlink_core::stop::{Closing, Draining, Stop};
@@ -550,6 +551,8 @@
             is_last,
             room_number,
             backend_number: backend_number(&load.backend_address),
+            group: GroupKey::new(&load.group),
+            slowdown: f64::from(load.pace),
         };
         let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
         if self.returns.record_report(before_ms, received_at_ms) {
