Keep divisions of cold rates as old as the claims that they rest on

A review of the change found three faults. The traffic thread renewed a division with claims that a suspended control thread had not refreshed; a change of the configuration took all lanes away for half a second; and a backend that once refused a connection stayed cold at a gateway without lanes, which does not hear it. Divisions now carry the time of their claims, claims survive a change, and the last state ends after 10 s.

The first two faults have no case of their own.

--- a/core/src/cold.rs
+++ b/core/src/cold.rs
@@ -12,6 +12,9 @@
 
 /// Maximum age of a backend's record when it is read. Backends write it every 1 to 2.5 s.
 pub const MAX_RECORD_AGE_MS: u64 = 2_500;
+/// Time for which a backend that could not be reached may return at any moment. A process that has ended has
+/// left the list by then. It must not last longer: a gateway without a part of the rate does not hear it.
+const ABSENT_UNTIL_MS: u64 = 10_000;
 /// Longest remaining time that is kept. A record that names more is wrong.
 const MAX_REMAINING_MS: u64 = 600_000;
 
@@ -70,8 +73,8 @@
     record: Option<Statement>,
     /// What a response said last.
     header: Option<Statement>,
-    /// Whether the backend cannot be reached. It counts as cold until it is heard.
-    is_absent: bool,
+    /// Time at which the backend could not be reached, if it has not been heard since.
+    absent_at_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -121,7 +124,7 @@
             event: cause.map(|cause| ColdEvent { at_ms: now_ms, cause }),
             record: None,
             header: None,
-            is_absent: false,
+            absent_at_ms: None,
         });
         match remaining_ms {
             Some(0) => {
@@ -149,15 +152,15 @@
     }
 
     /// Records that a backend cannot be reached.
-    pub fn record_absent(&mut self, key: K) {
+    pub fn record_absent(&mut self, key: K, now_ms: u64) {
         if let Some(state) = self.backends.get_mut(&key) {
-            state.is_absent = true;
+            state.absent_at_ms = Some(now_ms);
         }
     }
 
     /// Records that a backend was heard. It may have been down if it could not be reached before.
     pub fn record_heard(&mut self, key: K, now_ms: u64) {
-        if self.backends.get(&key).is_some_and(|state| state.is_absent) {
+        if self.backends.get(&key).is_some_and(|state| state.absent_at_ms.is_some()) {
             self.record_return(key, now_ms);
         }
     }
@@ -165,7 +168,7 @@
     /// Records that a backend was heard again after it was not heard for some time.
     pub fn record_return(&mut self, key: K, now_ms: u64) {
         if let Some(state) = self.backends.get_mut(&key) {
-            state.is_absent = false;
+            state.absent_at_ms = None;
             state.record_event(ColdEvent { at_ms: now_ms, cause: ColdCause::Returned });
         }
     }
@@ -213,7 +216,10 @@
 
 impl ColdState {
     fn may_be_cold(&self) -> bool {
-        self.is_absent || self.event.is_some() || self.record.is_some() || self.header.is_some()
+        self.absent_at_ms.is_some()
+            || self.event.is_some()
+            || self.record.is_some()
+            || self.header.is_some()
     }
 
     fn record_event(&mut self, event: ColdEvent) {
@@ -225,7 +231,7 @@
     fn cold(&self, start_ms: u64, now_ms: u64) -> Option<ColdBackend<'_>> {
         let said = |cause| move |said: Statement| (cause, said.until_ms);
         let causes = [
-            self.is_absent.then_some((ColdCause::Returned, now_ms.saturating_add(start_ms))),
+            self.absent_at_ms.map(|at_ms| (ColdCause::Returned, at_ms + ABSENT_UNTIL_MS)),
             self.event.map(|event| (event.cause, event.at_ms.saturating_add(start_ms))),
             self.record.map(said(ColdCause::Record)),
             self.header.map(said(ColdCause::Header)),
--- a/core/src/rate_lanes.rs
+++ b/core/src/rate_lanes.rs
@@ -145,6 +145,8 @@
 /// The gateways among which lanes are divided, with their weights, at one time.
 #[derive(Clone, Debug, Default)]
 pub struct Competitors {
+    /// Time at which they were known.
+    at_ms: u64,
     /// This gateway, unless it may own no lane.
     own: Option<(u64, f64)>,
     others: Vec<(u64, f64)>,
@@ -232,13 +234,13 @@
         let is_settled =
             self.own.front().is_some_and(|&(at_ms, _)| is_before_window(at_ms, now_ms));
         let Some(known) = self.known.as_ref().filter(|_| is_settled) else {
-            return Competitors { own: None, others };
+            return Competitors { at_ms: now_ms, own: None, others };
         };
         let claims = self.own.iter().map(|&(_, claim)| claim);
         let own = plan.weight(claims.fold(f64::INFINITY, f64::min));
         let is_unheard = |hash: &u64| *hash != self.own_hash && !self.others.contains_key(hash);
         others.extend(known.iter().copied().filter(is_unheard).map(|hash| (hash, own)));
-        Competitors { own: Some((self.own_hash, own)), others }
+        Competitors { at_ms: now_ms, own: Some((self.own_hash, own)), others }
     }
 }
 
@@ -284,7 +286,7 @@
     pub fn divide(&mut self, competitors: &Competitors, now_ms: u64) {
         let LanePlan { spacing_ms, tolerance_ms, .. } = self.plan;
         let lapsed = now_ms.saturating_sub(self.divided_at_ms) > DIVISION_VALID_MS;
-        self.divided_at_ms = now_ms;
+        self.divided_at_ms = competitors.at_ms;
         for (lane, due_ms) in (0..).zip(&mut self.due_ms) {
             let seed = xxh3_64_with_seed(&u64::to_le_bytes(lane), self.seed);
             *due_ms = match (competitors.own_lane(seed), *due_ms) {
--- a/daemon/src/cold_backends.rs
+++ b/daemon/src/cold_backends.rs
@@ -53,14 +53,14 @@
         let mut before = std::mem::take(&mut self.services);
         let pools = table.pools().iter().filter_map(|pool| Some((&pool.name, pool.cold_phase?)));
         for (name, phase) in pools {
-            let known = before.swap_remove(name.as_str()).map(|service| service.claims);
-            let claims = known.unwrap_or_else(|| {
+            let known = before.swap_remove(name.as_str());
+            let known = known.map(|service| (service.claims, service.competitors));
+            let (claims, competitors) = known.unwrap_or_else(|| {
                 let mut claims = DemandClaims::new(&self.own_name);
                 claims.set_known(self.gateways.as_deref());
-                claims
+                (claims, Competitors::default())
             });
             let plan = plan(phase, self.margin);
-            let competitors = Competitors::default();
             self.services.insert(name.clone(), ColdService { phase, plan, claims, competitors });
         }
     }
--- a/daemon/src/stated_limits.rs
+++ b/daemon/src/stated_limits.rs
@@ -100,7 +100,7 @@
 
     /// Records that a backend refuses connections.
     pub fn record_absent(&self, key: FleetKey) {
-        self.lock().update_cold_backend(key, |cold, _| cold.states().record_absent(key));
+        self.lock().update_cold_backend(key, |cold, now| cold.states().record_absent(key, now));
     }
 
     /// Records that a backend has responded to a request that was sent at `sent_at_ms`, and for how long it
