Let stalled uploads give way to a body that grows in small steps

Cause: whether a reservation may use the reserve was decided by all that its connection holds, but who gives way by the step alone. A chunked body of 64 KiB that grows by 64 KiB found no room, and nobody gave way until it was rejected after 500 ms.

--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -126,10 +126,8 @@
 pub enum Need {
     /// A connection.
     Connection,
-    /// Memory for the body of a request.
-    Body(usize),
-    /// Memory for the body of a response.
-    Response(usize),
+    /// Memory for a connection: so many bytes more.
+    Memory(ConnectionKey, Purpose, usize),
 }
 
 /// The account of all connections of callers.
@@ -231,9 +229,7 @@
 
     /// Reserves `bytes` more for a connection, or returns false if they do not fit.
     pub fn try_reserve(&mut self, key: ConnectionKey, purpose: Purpose, bytes: usize) -> bool {
-        let held = self.connections.get(&key).map_or(0, |c| c.body_bytes + c.response_bytes);
-        let is_small = held + bytes <= SMALL_BYTES;
-        let fits = self.excess_bytes(purpose, bytes, is_small) == 0;
+        let fits = self.excess_bytes(key, purpose, bytes) == 0;
         if fits {
             self.reserve(key, purpose, bytes);
         }
@@ -271,10 +267,12 @@
     }
 
     /// Returns by how many bytes a reservation exceeds the budget.
-    fn excess_bytes(&self, purpose: Purpose, bytes: usize, is_small: bool) -> usize {
+    fn excess_bytes(&self, key: ConnectionKey, purpose: Purpose, bytes: usize) -> usize {
         let Some(limit) = self.limits.memory_bytes else {
             return 0;
         };
+        let held = self.connections.get(&key).map_or(0, |c| c.body_bytes + c.response_bytes);
+        let is_small = held.saturating_add(bytes) <= SMALL_BYTES;
         let total = self.used_bytes().saturating_add(bytes);
         let bodies = self.body_bytes.saturating_add(bytes);
         match purpose {
@@ -291,14 +289,11 @@
     pub fn give_way(&mut self, need: Need, now_ms: u64) -> Vec<ConnectionKey> {
         let mut excess = match need {
             Need::Connection => 1,
-            Need::Body(bytes) => self.excess_bytes(Purpose::Body, bytes, bytes <= SMALL_BYTES),
-            Need::Response(bytes) => {
-                self.excess_bytes(Purpose::Response, bytes, bytes <= SMALL_BYTES)
-            }
+            Need::Memory(key, purpose, bytes) => self.excess_bytes(key, purpose, bytes),
         };
         let amount = |connection: &Connection| match need {
             Need::Connection => 1,
-            Need::Body(_) | Need::Response(_) => connection.held_bytes(),
+            Need::Memory(..) => connection.held_bytes(),
         };
         let closing = self.connections.values().filter(|connection| connection.gives_way);
         excess = excess.saturating_sub(closing.map(amount).sum());
--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -15,6 +15,10 @@
     budget
 }
 
+fn body_of(key: ConnectionKey, bytes: usize) -> Need {
+    Need::Memory(key, Purpose::Body, bytes)
+}
+
 fn receiving(budget: &mut MemoryBudget, client: u64, bytes: usize, now_ms: u64) -> ConnectionKey {
     let key = budget.open(client, FIXED_BYTES, now_ms);
     budget.set_phase(key, Phase::Receiving, now_ms);
@@ -28,7 +32,7 @@
     let key = budget.open(1, FIXED_BYTES, 0);
     assert!(budget.try_reserve(key, Purpose::Body, usize::MAX / 4));
     assert!(budget.has_room(FIXED_BYTES));
-    assert!(budget.give_way(Need::Body(MB), 1_000_000).is_empty());
+    assert!(budget.give_way(body_of(key, MB), 1_000_000).is_empty());
 }
 
 /// Guards against a limit that an ordinary client meets on the smallest gateway.
@@ -60,12 +64,13 @@
 fn longest_standstill_first() {
     let mut budget = smallest_gateway();
     let keys: Vec<_> = (0..7).map(|n| receiving(&mut budget, n, 4 * MB, n * 10)).collect();
-    assert_eq!(budget.give_way(Need::Body(4 * MB), STANDSTILL_MS - 1), []);
+    let waiting = budget.open(9, FIXED_BYTES, 0);
+    assert_eq!(budget.give_way(body_of(waiting, 4 * MB), STANDSTILL_MS - 1), []);
     budget.record_bytes(keys[0], MB, STANDSTILL_MS);
     let now_ms = 2 * STANDSTILL_MS - 1;
-    assert_eq!(budget.give_way(Need::Body(4 * MB), now_ms), [keys[1]]);
-    assert_eq!(budget.give_way(Need::Body(4 * MB), now_ms), [], "room is on its way");
-    assert_eq!(budget.give_way(Need::Body(8 * MB), now_ms), [keys[2]]);
+    assert_eq!(budget.give_way(body_of(waiting, 4 * MB), now_ms), [keys[1]]);
+    assert_eq!(budget.give_way(body_of(waiting, 4 * MB), now_ms), [], "room is on its way");
+    assert_eq!(budget.give_way(body_of(waiting, 8 * MB), now_ms), [keys[2]]);
 }
 
 /// Guards against a trickle of bytes that passes for progress.
@@ -79,7 +84,8 @@
             budget.record_bytes(key, 1 << 10, now_ms);
         });
     }
-    assert_eq!(budget.give_way(Need::Body(4 * MB), STANDSTILL_MS), [keys[3]]);
+    let waiting = budget.open(9, FIXED_BYTES, 0);
+    assert_eq!(budget.give_way(body_of(waiting, 4 * MB), STANDSTILL_MS), [keys[3]]);
 }
 
 /// Guards against one client that holds most of the memory and makes others give way.
@@ -88,7 +94,8 @@
     let mut budget = smallest_gateway();
     let other = receiving(&mut budget, 1, 4 * MB, 0);
     let keys: Vec<_> = (0..6).map(|_| receiving(&mut budget, 2, 4 * MB, 10)).collect();
-    let chosen = budget.give_way(Need::Body(4 * MB), 10 * STANDSTILL_MS);
+    let waiting = budget.open(9, FIXED_BYTES, 0);
+    let chosen = budget.give_way(body_of(waiting, 4 * MB), 10 * STANDSTILL_MS);
     assert!(keys.contains(&chosen[0]) && !chosen.contains(&other));
 }
 
@@ -100,7 +107,23 @@
         let key = receiving(&mut budget, client, 4 * MB, 0);
         budget.set_phase(key, Phase::Working, 0);
     }
-    assert_eq!(budget.give_way(Need::Body(4 * MB), 1_000_000), []);
+    let waiting = budget.open(9, FIXED_BYTES, 0);
+    assert_eq!(budget.give_way(body_of(waiting, 4 * MB), 1_000_000), []);
+}
+
+/// Guards against a chunked body that grows by a small step past the small size and waits although others
+/// stand still.
+#[test]
+fn small_step_of_large_body() {
+    let mut budget = smallest_gateway();
+    let still: Vec<_> = (0..7).map(|n| receiving(&mut budget, n, 4 * MB, n)).collect();
+    let growing = receiving(&mut budget, 8, SMALL_BYTES, 0);
+    budget.set_phase(growing, Phase::Working, 0);
+    let rest = budget.open(9, FIXED_BYTES, 0);
+    assert!(budget.try_reserve(rest, Purpose::Body, 2 * MB - SMALL_BYTES));
+    assert!(!budget.try_reserve(growing, Purpose::Body, SMALL_BYTES));
+    let chosen = budget.give_way(body_of(growing, SMALL_BYTES), 2 * STANDSTILL_MS);
+    assert_eq!(chosen, [still[0]]);
 }
 
 #[test]
--- a/daemon/src/caller_limits/mod.rs
+++ b/daemon/src/caller_limits/mod.rs
@@ -78,8 +78,8 @@
         }
         let need = match need {
             Need::Connection => "connection",
-            Need::Body(_) => "body",
-            Need::Response(_) => "response",
+            Need::Memory(_, Purpose::Body, _) => "body",
+            Need::Memory(_, Purpose::Response, _) => "response",
         };
         metrics::counter!("currantlink_caller_connections_closed_total", "need" => need)
             .increment(chosen.len() as u64);
@@ -247,10 +247,7 @@
             if Instant::now() >= until {
                 return false;
             }
-            self.shared.make_room(match self.purpose {
-                Purpose::Body => Need::Body(bytes),
-                Purpose::Response => Need::Response(bytes),
-            });
+            self.shared.make_room(Need::Memory(self.key, self.purpose, bytes));
             self.shared.wait_for_change().await;
         }
     }
