--- a/core/tests/route_table.rs
+++ b/core/tests/route_table.rs
@@ -82,7 +82,7 @@
 fn urgency_classes() {
     let urgency = |priorities: &[u32]| {
         let routes = priorities.iter().map(|&priority| Route { priority, ..route("a", "/", true) });
-        let pool = Pool { name: "x".into(), max_connections: 10, engine: None };
+        let pool = Pool { name: "x".into(), max_connections: 10, engine: None, cold_phase: None };
         let table = RouteTable::new(7, routes.collect(), vec![pool], CallerLimits::default(), None);
         let class = |key| table.urgency_class(RouteKey(key), PoolKey(0)).map(|class| class.0);
         let classes: Vec<_> = (0..priorities.len() as u32).map(class).collect();
--- a/daemon/tests/large_group.rs
+++ b/daemon/tests/large_group.rs
@@ -121,6 +121,7 @@
         experts: Vec::new(),
         backend: address(1),
         has_map_in_use: true,
+        pace: 1.0,
     };
     let report_bytes = encode_report(report).encoded_len() + OVERHEAD_BYTES;
     let agents: Vec<usize> = (1..RANKS).collect();
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -85,6 +85,7 @@
                 experts,
                 backend,
                 has_map_in_use: false,
+                pace: 1.0,
             };
             self.leader.record_report(self.now_ms, address(state.rank), report);
         }
@@ -136,7 +137,7 @@
         group.now_ms += 50;
         let (choices, state) = (vec![1_000, 1_000, 1_000, 20_000], group.ranks[0].clone());
         let (experts, backend) = (Vec::new(), address(100));
-        let report = Report { state, choices, experts, backend, has_map_in_use: false };
+        let report = Report { state, choices, experts, backend, has_map_in_use: false, pace: 1.0 };
         group.leader.record_report(group.now_ms, address(0), report);
     }
     group.report(&[]);
