--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -73,8 +73,6 @@
     pub interval_ms: f64,
     /// Random number that the report names, plus the rank of this gateway among all gateways.
     pub draw: u64,
-    /// Slowdown factor of the backend: 1 is its normal speed, larger is slower. 0 if unknown.
-    pub pace: f64,
     /// Whether the agent has announced that this is its last report.
     pub is_last: bool,
     /// Random number that the report names, by which its room is divided in proportion to demand.
@@ -179,16 +177,20 @@
 
 /// Reduces the slots of engines that are slower than others of the service to the requests that they can
 /// run without delaying the others of their group, and removes those that can run none unless all are
-/// such.
-pub fn limit_slow_engines(candidates: &mut Vec<Candidate>, engine: &EngineProfile) {
-    let reported = candidates.iter().map(|c| c.report.map_or(0.0, |report| report.pace));
+/// such. Returns the number of slow engines.
+pub fn limit_slow_engines(candidates: &mut Vec<Candidate>, engine: &EngineProfile) -> usize {
+    let reported = candidates.iter().map(|c| c.report.map_or(0.0, |report| report.slowdown));
     let paces = pace::relative_paces(reported);
+    let mut slow = 0;
     for (candidate, relative_pace) in candidates.iter_mut().zip(paces) {
-        candidate.slots = pace::usable_slots(engine, candidate.slots, relative_pace);
+        let usable = pace::usable_slots(engine, candidate.slots, relative_pace);
+        slow += usize::from(usable < candidate.slots);
+        candidate.slots = usable;
     }
     if candidates.iter().any(|candidate| candidate.slots > 0) {
         candidates.retain(|candidate| candidate.slots > 0);
     }
+    slow
 }
 
 /// Limits on the requests at a backend.
--- a/core/tests/least_loaded.rs
+++ b/core/tests/least_loaded.rs
@@ -2,8 +2,10 @@
 
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::least_loaded::{
-    Candidate, Choice, Limits, LoadReport, choose, queue_limit, retry_after_ms, sample_size,
+    Candidate, Choice, Limits, LoadReport, choose, limit_slow_engines, queue_limit, retry_after_ms,
+    sample_size,
 };
+use currantlink_core::routes::EngineProfile;
 use currantlink_core::silence::SILENT_AFTER_RANGE_MS;
 
 fn choose_among_all(candidates: &[Candidate], limits: Limits, draw: u64) -> Choice {
@@ -309,3 +311,31 @@
         assert_eq!(choose(&[ended], queued(0), 34, 1, draw), Choice::Send(FleetKey(1)));
     }
 }
+
+/// Guards against requests at a rank that delays its whole group, and against a service without any
+/// backend because all are slow.
+#[test]
+fn slow_engines() {
+    let engine = EngineProfile {
+        slots: 4,
+        stride_steps: 6,
+        step_ms: 5.0,
+        per_request_ms: 1.0,
+        prefill_tokens_per_ms: 60.0,
+        mean_prompt_tokens: 800.0,
+        mean_response_tokens: 140.0,
+        experts: None,
+    };
+    let at = |slowdowns: [f64; 3]| {
+        let mut candidates: Vec<Candidate> = (0..3).map(|key| reported(key, 0, 0, 0)).collect();
+        for (candidate, slowdown) in candidates.iter_mut().zip(slowdowns) {
+            candidate.report = candidate.report.map(|report| LoadReport { slowdown, ..report });
+        }
+        let slow = limit_slow_engines(&mut candidates, &engine);
+        (slow, candidates.iter().map(|c| (c.key.0, c.slots)).collect::<Vec<_>>())
+    };
+    assert_eq!(at([0.0, 1.0, 1.0]), (0, vec![(0, 4), (1, 4), (2, 4)]));
+    assert_eq!(at([1.0, 1.5, 1.0]), (1, vec![(0, 4), (1, 1), (2, 4)]));
+    assert_eq!(at([1.0, 2.0, 1.0]), (1, vec![(0, 4), (2, 4)]));
+    assert_eq!(at([3.0, 3.0, 3.0]), (0, vec![(0, 4), (1, 4), (2, 4)]));
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -539,7 +539,6 @@
         let received_at_ms = now_ms();
         let room_number = draw as u16;
         let draw = u64::from(draw) + self.division_rank;
-        let pace = f64::from(pace);
         let report = LoadReport {
             active,
             queued,
@@ -547,12 +546,11 @@
             received_at_ms,
             interval_ms,
             draw,
-            pace,
             is_last,
             room_number,
             backend_number: backend_number(&load.backend_address),
             group: GroupKey::new(&load.group),
-            slowdown: f64::from(load.pace),
+            slowdown: f64::from(pace),
         };
         let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
         if self.returns.record_report(before_ms, received_at_ms) {
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -338,7 +338,9 @@
             });
         }
         if let Some(engine) = call.service().engine.as_ref().filter(|e| e.experts.is_some()) {
-            least_loaded::limit_slow_engines(&mut set.candidates, engine);
+            let slow = least_loaded::limit_slow_engines(&mut set.candidates, engine);
+            metrics::gauge!("currantlink_slow_engines", "service" => call.service().name.clone())
+                .set(slow as f64);
         }
         set
     }
--- a/daemon/tests/evacuation.rs
+++ b/daemon/tests/evacuation.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Guards against requests that are waiting or retried when the evacuation begins, and against cutting
-/// off those that run in the domain.
+/// Guards against cutting off streams that run in the domain when the evacuation begins, and against new
+/// ones that are sent there.
 #[tokio::test]
 async fn running_stream() {
     let shape = Shape { ranks: 2, events: 5, ..two_zones(1) };
