Use cold backends while all gateways have just started

While no gateway is settled, the lanes are now divided equally among those that are known to exist. The first one that settles waits for the spacing of its lanes, and has told the others in its hello messages by then. Ruled out: a small rate for each starting gateway, which 40 of them would add up to more than the bound.

--- a/core/src/rate_lanes.rs
+++ b/core/src/rate_lanes.rs
@@ -50,6 +50,9 @@
 /// The same for a single sample, a mean over a second (variance 1/2): 3.5 standard deviations. It shows
 /// callers that have come or gone sooner.
 const SAMPLE_CHANCE: f64 = 2.5;
+/// Age from which a gateway owns lanes although it has not announced claims for long enough, if none of the
+/// others has either. Gateways that have send a hello message within this time.
+const BEGIN_MS: u64 = 700;
 /// Multiple of a lane's rate below which the weight of a gateway falls with the square of its claim: a
 /// gateway with few requests leaves a lane unused while it waits for the next one.
 const AMPLE_CLAIM: f64 = 4.0;
@@ -129,6 +132,8 @@
     own_hash: u64,
     demand_per_s: f64,
     sampled_at_ms: Option<u64>,
+    /// Time since which the demand is sampled without a gap.
+    sampled_since_ms: u64,
     /// Announced claims, each with the time since which it was announced, oldest first.
     own: VecDeque<(u64, f64)>,
     others: IndexMap<u64, ReceivedClaim>,
@@ -140,6 +145,8 @@
 struct ReceivedClaim {
     received_at_ms: u64,
     per_s: f64,
+    /// Whether the gateway has announced claims for long enough to own lanes by them.
+    is_settled: bool,
 }
 
 /// The gateways among which lanes are divided, with their weights, at one time.
@@ -159,6 +166,7 @@
             own_hash: name_hash(own_name),
             demand_per_s: 0.0,
             sampled_at_ms: None,
+            sampled_since_ms: 0,
             own: VecDeque::new(),
             others: IndexMap::new(),
             known: None,
@@ -185,6 +193,7 @@
             _ => {
                 self.own = VecDeque::from([(now_ms, claim_before)]);
                 self.demand_per_s = per_s;
+                self.sampled_since_ms = now_ms;
             }
         }
         if differs(claim_before, per_s, SAMPLE_CHANCE) {
@@ -209,12 +218,18 @@
         claim
     }
 
-    /// Records the claim of another gateway.
-    pub fn record(&mut self, gateway: &str, per_s: f64, now_ms: u64) {
+    /// Returns whether this gateway has announced claims for long enough to own lanes by them.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        self.own.front().is_some_and(|&(at_ms, _)| is_before_window(at_ms, now_ms))
+    }
+
+    /// Records the claim of another gateway, and whether it is settled.
+    pub fn record(&mut self, gateway: &str, per_s: f64, is_settled: bool, now_ms: u64) {
         let hash = name_hash(gateway);
         if hash != self.own_hash {
             let per_s = if per_s.is_finite() { per_s.max(0.0) } else { 0.0 };
-            self.others.insert(hash, ReceivedClaim { received_at_ms: now_ms, per_s });
+            let claim = ReceivedClaim { received_at_ms: now_ms, per_s, is_settled };
+            self.others.insert(hash, claim);
         }
     }
 
@@ -224,6 +239,10 @@
     /// and it may not know them. Gateways that fell silent do not count, unless they are so many that they
     /// may be cut off rather than gone. Gateways that are known to exist but have not been heard are assumed to
     /// claim as much as this one.
+    ///
+    /// If none of the gateways is settled, as after a loss of power of all, the lanes are divided equally
+    /// among those that are known to exist. The first one that settles waits for the spacing of its lanes,
+    /// and has told the others by then.
     pub fn competitors(&self, plan: LanePlan, now_ms: u64) -> Competitors {
         let silent = self.others.values().filter(|other| !other.is_current(now_ms)).count();
         let is_cut_off = silent as f64 > MAX_SILENT_SHARE * (self.others.len() + 1) as f64;
@@ -231,11 +250,15 @@
         let others = self.others.iter().filter(|(_, other)| counts(other));
         let mut others: Vec<(u64, f64)> =
             others.map(|(&hash, other)| (hash, plan.weight(other.per_s))).collect();
-        let is_settled =
-            self.own.front().is_some_and(|&(at_ms, _)| is_before_window(at_ms, now_ms));
-        let Some(known) = self.known.as_ref().filter(|_| is_settled) else {
+        let Some(known) = self.known.as_ref() else {
             return Competitors { at_ms: now_ms, own: None, others };
         };
+        if !self.is_settled(now_ms) {
+            let own = self.may_begin(now_ms).then_some((self.own_hash, 1.0));
+            let known = known.iter().copied().filter(|hash| *hash != self.own_hash);
+            let others = known.map(|hash| (hash, 1.0)).collect();
+            return Competitors { at_ms: now_ms, own, others };
+        }
         let claims = self.own.iter().map(|&(_, claim)| claim);
         let own = plan.weight(claims.fold(f64::INFINITY, f64::min));
         let is_unheard = |hash: &u64| *hash != self.own_hash && !self.others.contains_key(hash);
@@ -244,6 +267,17 @@
     }
 }
 
+impl DemandClaims {
+    /// Returns whether an unsettled gateway owns lanes: it knows others, and none of them is settled.
+    fn may_begin(&self, now_ms: u64) -> bool {
+        let knows_others = self.known.iter().flatten().any(|hash| *hash != self.own_hash);
+        knows_others
+            && self.sampled_at_ms.is_some()
+            && now_ms >= self.sampled_since_ms + BEGIN_MS
+            && !self.others.values().any(|other| other.is_settled && other.is_current(now_ms))
+    }
+}
+
 impl ReceivedClaim {
     fn is_current(&self, now_ms: u64) -> bool {
         !is_before_window(self.received_at_ms, now_ms)
--- a/core/tests/cold_backends.rs
+++ b/core/tests/cold_backends.rs
@@ -4,7 +4,7 @@
 use currantlink_core::cold::{
     ColdCause, ColdStates, ListedBackend, MAX_RECORD_AGE_MS, ReturnDetector,
 };
-use currantlink_core::rate_lanes::{BoundedRate, DemandClaims, LanePlan, RateMargin};
+use currantlink_core::rate_lanes::{BoundedRate, DemandClaims, LanePlan, Lanes, RateMargin};
 use currantlink_core::rate_limit::{Permit, RateLimits};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -221,7 +221,8 @@
             for sender in reachable.chain(stopped.iter().map(|(_, gateway)| gateway)) {
                 let sent_at_ms = now_ms.saturating_sub(rng.random_range(0..=MAX_DELAY_MS));
                 if let Some(claim) = sender.announced_at(sent_at_ms) {
-                    claims.record(&sender.name, claim, now_ms);
+                    let is_settled = sender.claims.is_settled(sent_at_ms);
+                    claims.record(&sender.name, claim, is_settled, now_ms);
                 }
             }
             all[receiver].claims = claims;
@@ -496,3 +497,36 @@
     assert!(!returns.record_report(Some(2_500), 6_000), "nothing was heard since");
     assert!(!returns.record_report(Some(2_500), 6_010), "nothing was heard since");
 }
+
+/// Guards against seconds without any request after all gateways have lost power with the backends, and
+/// against a lane with two owners when a gateway restarts beside others.
+#[test]
+fn restarted_together() {
+    const GATEWAYS: usize = 14;
+    let plan = LanePlan::from(BoundedRate {
+        per_s: 26.0,
+        margin: RateMargin { overage: 1.5, slack: 5.0 },
+    });
+    let names: Vec<String> = (0..GATEWAYS).map(|index| format!("gateway-{index}")).collect();
+    let owned = |settled: bool, now_ms: u64| -> usize {
+        let owned = names.iter().map(|name| {
+            let mut claims = DemandClaims::new(name);
+            claims.set_known(Some(&names));
+            for at_ms in (0..=now_ms).step_by(100) {
+                claims.sample(10.0, at_ms);
+            }
+            for other in names.iter().filter(|other| *other != name) {
+                claims.record(other, 10.0, settled, now_ms);
+            }
+            let mut lanes = Lanes::new("backend", plan);
+            lanes.divide(&claims.competitors(plan, now_ms), now_ms);
+            lanes.owned()
+        });
+        owned.sum()
+    };
+    let lanes = plan.lanes() as usize;
+    assert_eq!(owned(false, 300), 0, "others may not have been heard yet");
+    assert_eq!(owned(false, 1_000), lanes);
+    assert_eq!(owned(true, 1_000), 0, "the others own the lanes");
+    assert_eq!(owned(true, 5_000), lanes);
+}
--- a/daemon/src/cold_backends.rs
+++ b/daemon/src/cold_backends.rs
@@ -119,23 +119,21 @@
         for (name, service) in &mut self.services {
             let demand = demands.iter().find(|demand| demand.service == *name);
             let per_s = demand.map_or(0.0, |demand| f64::from(demand.claim_per_s));
-            service.claims.record(gateway, per_s, now_ms);
+            let is_settled = demand.is_some_and(|demand| demand.is_settled);
+            service.claims.record(gateway, per_s, is_settled, now_ms);
         }
     }
 
-    /// Records this gateway's current request rates, and returns its claims by service.
-    pub fn sample_claims(
-        &mut self,
-        own_per_s: impl Fn(&str) -> f64,
-        now_ms: u64,
-    ) -> Vec<(String, f64)> {
+    /// Records this gateway's current request rates, and returns its claims.
+    pub fn sample_claims(&mut self, own_per_s: impl Fn(&str) -> f64, now_ms: u64) -> Vec<Demand> {
         let services = self.services.iter_mut();
         let claims = services.map(|(name, service)| {
-            let claim_per_s = service.claims.sample(own_per_s(name), now_ms);
+            let claim_per_s = service.claims.sample(own_per_s(name), now_ms) as f32;
             service.competitors = service.claims.competitors(service.plan, now_ms);
-            (name.clone(), claim_per_s)
+            let is_settled = service.claims.is_settled(now_ms);
+            Demand { service: name.clone(), claim_per_s, is_settled, ..Demand::default() }
         });
-        claims.collect()
+        claims.filter(|claim| claim.claim_per_s > 0.0).collect()
     }
 
     /// Divides the rates of all cold backends if the last division is some time ago.
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -612,11 +612,13 @@
         let rates = &self.shared.rates;
         let claims = self.shared.stated_limits.sample_claims(|service| rates.own_per_s(service));
         let mut demands = rates.announced();
-        for (service, claim_per_s) in claims.into_iter().filter(|&(_, claim)| claim > 0.0) {
-            let claim_per_s = claim_per_s as f32;
-            match demands.iter_mut().find(|demand| demand.service == service) {
-                Some(demand) => demand.claim_per_s = claim_per_s,
-                None => demands.push(Demand { service, claim_per_s, ..Demand::default() }),
+        for claim in claims {
+            match demands.iter_mut().find(|demand| demand.service == claim.service) {
+                Some(demand) => {
+                    let requests_per_s = demand.requests_per_s;
+                    *demand = Demand { requests_per_s, ..claim };
+                }
+                None => demands.push(claim),
             }
         }
         demands
--- a/daemon/src/stated_limits.rs
+++ b/daemon/src/stated_limits.rs
@@ -121,7 +121,7 @@
 
     /// Records this gateway's current request rates, and divides the rates of cold backends. Returns the
     /// claims to announce, by service.
-    pub fn sample_claims(&self, own_per_s: impl Fn(&str) -> f64) -> Vec<(String, f64)> {
+    pub fn sample_claims(&self, own_per_s: impl Fn(&str) -> f64) -> Vec<Demand> {
         let mut guard = self.lock();
         let (now, State { rates, cold, .. }) = (now_ms(), &mut *guard);
         let claims = cold.sample_claims(own_per_s, now);
