--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -50,6 +50,7 @@
         if self.keys.first() == Some(&key) {
             return;
         }
+        log::info!("link key of the peers read");
         self.keys.insert(0, key);
         self.keys.truncate(ACCEPTED_KEYS);
     }
--- a/daemon/tests/evacuation.rs
+++ b/daemon/tests/evacuation.rs
@@ -143,10 +143,15 @@
     let (mut deployment, _directory) = start(two_zones(2)).await;
     let peers = [(0, ["peer discovered", "gateway-1"]), (1, ["peer discovered", "gateway-0"])];
     let known = peers.map(|(gateway, parts)| count_lines(&deployment, gateway, &parts));
+    // Without the key, which one of the processes creates after its start, none believes the others.
+    let has_key = ["link key of the peers read"];
+    let keys = count_lines(&deployment, 1, &has_key);
     let relay = relay_store(&mut deployment, 1).await;
     for ((gateway, parts), known) in peers.into_iter().zip(known) {
         wait_for_line(&deployment, gateway, known, &parts).await;
     }
+    wait_for_line(&deployment, 0, 0, &has_key).await;
+    wait_for_line(&deployment, 1, keys, &has_key).await;
     relay.close();
     tokio::time::sleep(LIMIT / 10).await;
     deployment.evacuate("c");
