--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -358,9 +358,6 @@
     ) -> Waited<T> {
         let patience = call.patience();
         let left = Duration::from_millis(patience.left_ms());
-        // The end of an answer that has begun gains its caller nothing, and the next event may come just
-        // before the caller leaves.
-        let has_begun = call.progress.has_events();
         tokio::select! {
             biased;
             read = reading => Waited::Read(read),
@@ -374,7 +371,7 @@
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
                 Waited::Silent
             }
-            () = tokio::time::sleep(left), if !has_begun && patience.ends_before_deadline() => {
+            () = tokio::time::sleep(left), if patience.ends_before_deadline() => {
                 metrics::counter!("currantlink_events_missed_total").increment(1);
                 Waited::NoEvent
             }
--- a/daemon/src/departure.rs
+++ b/daemon/src/departure.rs
@@ -65,11 +65,6 @@
         self.0.set(Steps { dispatch, heard_at: Instant::now() });
     }
 
-    /// Returns whether the caller has been sent an event of the backend that has the request now.
-    pub fn has_events(&self) -> bool {
-        self.0.get().dispatch.is_some_and(|dispatch| dispatch.has_events)
-    }
-
     /// Returns the time for which the caller has been sent nothing.
     pub fn unheard(&self) -> Duration {
         self.0.get().heard_at.elapsed()
