Do the work for slow engines once a placement, and only if one is slow

Read again: each listing of candidates, also those for the expected turn and for the room, sorted the paces of all engines and set a gauge with a label of its own, although usually none is slow. The paces are now compared only if an engine reports a slowdown, and the gauge is set by the placement. The sum of other gateways' rates had no caller but a test, which now sums up itself with the same assertions. A comment and a log statement are wrapped. Ruled out: one list of candidates for all three uses, as they ask with different exclusions.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -4,9 +4,9 @@
 //! gateway lowers its admission level when requests wait long, are turned away for lack of room, or
 //! are streamed with pauses that are too long, and raises it gradually otherwise. Gateways announce
 //! their levels to each other. Less urgent requests are held back at once while the mean level is low,
-//! and leave a reserve of slots to more urgent ones while any level is low. The level follows DAGOR (overload control by business
-//! priority, with levels that are piggybacked on messages); the reserve follows the trunk reservation
-//! of telephone networks.
+//! and leave a reserve of slots to more urgent ones while any level is low. The level follows DAGOR
+//! (overload control by business priority, with levels that are piggybacked on messages); the reserve
+//! follows the trunk reservation of telephone networks.
 
 use std::cmp::Ordering;
 
--- a/core/src/gateway_rates.rs
+++ b/core/src/gateway_rates.rs
@@ -90,11 +90,6 @@
             (name.as_str(), other.per_s.get(service).copied().unwrap_or_default())
         })
     }
-
-    /// Returns the sum of the rates of the other gateways for a service.
-    pub fn others_sum_per_s(&self, service: &str, now_ms: u64) -> f64 {
-        self.others_per_s(service, now_ms).map(|(_, per_s)| per_s).sum()
-    }
 }
 
 impl Announcement {
--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -179,13 +179,16 @@
 /// run without delaying the others of their group, and removes those that can run none unless all are
 /// such. Returns the number of slow engines.
 pub fn limit_slow_engines(candidates: &mut Vec<Candidate>, engine: &EngineProfile) -> usize {
-    let reported = candidates.iter().map(|c| c.report.map_or(0.0, |report| report.slowdown));
-    let paces = pace::relative_paces(reported);
+    let slowdown = |c: &Candidate| c.report.map_or(0.0, |report| report.slowdown);
     let mut slow = 0;
-    for (candidate, relative_pace) in candidates.iter_mut().zip(paces) {
-        let usable = pace::usable_slots(engine, candidate.slots, relative_pace);
-        slow += usize::from(usable < candidate.slots);
-        candidate.slots = usable;
+    // Each placement comes here, and usually no engine is slow.
+    if candidates.iter().any(|candidate| slowdown(candidate) > 1.0) {
+        let paces = pace::relative_paces(candidates.iter().map(slowdown));
+        for (candidate, relative_pace) in candidates.iter_mut().zip(paces) {
+            let usable = pace::usable_slots(engine, candidate.slots, relative_pace);
+            slow += usize::from(usable < candidate.slots);
+            candidate.slots = usable;
+        }
     }
     if candidates.iter().any(|candidate| candidate.slots > 0) {
         candidates.retain(|candidate| candidate.slots > 0);
--- a/core/tests/gateway_rates.rs
+++ b/core/tests/gateway_rates.rs
@@ -8,15 +8,19 @@
     ServiceRate { service: SERVICE.to_owned(), per_s }
 }
 
+fn others_sum_per_s(rates: &GatewayRates, now_ms: u64) -> f64 {
+    rates.others_per_s(SERVICE, now_ms).map(|(_, per_s)| per_s).sum()
+}
+
 /// Guards against shares that rest on gateways which have stopped.
 #[test]
 fn expired_announcement() {
     let mut rates = GatewayRates::default();
     rates.record_announcement("b", [rate(4.0)], 1_000);
     rates.record_announcement("c", [rate(6.0)], 2_000);
-    assert_eq!(rates.others_sum_per_s(SERVICE, 2_000), 10.0);
+    assert_eq!(others_sum_per_s(&rates, 2_000), 10.0);
     let later_ms = 1_000 + MAX_ANNOUNCEMENT_AGE_MS;
-    assert_eq!(rates.others_sum_per_s(SERVICE, later_ms), 6.0);
+    assert_eq!(others_sum_per_s(&rates, later_ms), 6.0);
     rates.remove_expired(later_ms);
     let names: Vec<&str> = rates.others_per_s(SERVICE, later_ms).map(|(name, _)| name).collect();
     assert_eq!(names, ["c"]);
@@ -28,7 +32,7 @@
     let mut rates = GatewayRates::default();
     rates.record_announcement("b", [rate(f64::NAN)], 0);
     rates.record_announcement("c", [rate(-1.0)], 0);
-    assert_eq!(rates.others_sum_per_s(SERVICE, 0), 0.0);
+    assert_eq!(others_sum_per_s(&rates, 0), 0.0);
 }
 
 /// Guards against an announced rate that does not follow the arrivals.
--- a/daemon/src/gateway_rates.rs
+++ b/daemon/src/gateway_rates.rs
@@ -24,11 +24,6 @@
         self.lock().own_per_s(service, now_ms())
     }
 
-    /// Returns the sum of the rates of the other gateways for a service.
-    pub fn others_sum_per_s(&self, service: &str) -> f64 {
-        self.lock().others_sum_per_s(service, now_ms())
-    }
-
     /// Returns the share of this gateway, named `own`, in the slots of a service's backends, or `None` if no
     /// other gateway is known.
     pub fn share(&self, own: &str, service: &str) -> Option<GatewayShare> {
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -36,6 +36,8 @@
     evacuated: usize,
     /// Whether backends outside evacuated failure domains accept requests, to this process or others.
     has_remaining: bool,
+    /// Number of engines that take fewer requests because they are slower than others.
+    slow_engines: usize,
     /// Why a backend that takes a request again soonest was excluded, if one was excluded for a time.
     excluded: Option<Clearance>,
 }
@@ -108,6 +110,10 @@
     ) -> Result<Placement, PlacementError> {
         let now = now_ms();
         let set = self.candidate_set(call, tried, now);
+        if call.service().engine.as_ref().is_some_and(|engine| engine.experts.is_some()) {
+            metrics::gauge!("currantlink_slow_engines", "service" => call.service().name.clone())
+                .set(set.slow_engines as f64);
+        }
         if set.evacuated > 0 && !set.has_remaining {
             return Err(PlacementError::Rejected(self.evacuated_rejection(call, set.evacuated)));
         }
@@ -161,8 +167,7 @@
                 log::info!(request = call.attempt_id.as_str(), route = call.route().name.as_str(),
                     backend, load, report_age_ms, candidates = candidates.len(), queue_limit,
                     slot, share = share.map(GatewayShare::size), is_preferred_group, running_limit,
-                    reserved,
-                    tried = tried.len(), returned = call.is_client_retry,
+                    reserved, tried = tried.len(), returned = call.is_client_retry,
                     waited_ms = call.arrived_at.elapsed().as_millis() as u64,
                     unheard_ms = call.progress.unheard().as_millis() as u64,
                     start_ms = self.start_ms(call) as u64,
@@ -296,6 +301,7 @@
             is_capped: false,
             evacuated: 0,
             has_remaining: false,
+            slow_engines: 0,
             excluded: None,
         };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
@@ -338,9 +344,7 @@
             });
         }
         if let Some(engine) = call.service().engine.as_ref().filter(|e| e.experts.is_some()) {
-            let slow = least_loaded::limit_slow_engines(&mut set.candidates, engine);
-            metrics::gauge!("currantlink_slow_engines", "service" => call.service().name.clone())
-                .set(slow as f64);
+            set.slow_engines = least_loaded::limit_slow_engines(&mut set.candidates, engine);
         }
         set
     }
