Recognize a group as slow although its slow engine takes no requests

Cause: engines that are too slow to take requests were removed before the groups of the candidates were compared, so a group with such an engine looked normal by the reports of its other engines until its own pauses were measured. Change: groups are compared before the removal. The expected pause of a slow engine follows its own running requests instead of the mean, so its group returns once that engine has drained and its empty passes are within the target. Found by reading; ruled out: dropping the removal, which would send requests to the slow engine. Result: uneven_groups::slow_engine_drains is new (the interface before could not express it); core uneven_groups and least_loaded pass, clippy clean.

--- a/core/src/group_choice.rs
+++ b/core/src/group_choice.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::least_loaded::Candidate;
+use crate::least_loaded::{Candidate, mean_running};
 
 /// Part of a target above which a group is left, so that its callers are not late yet.
 const LEAVE_SHARE: f64 = 0.8;
@@ -72,15 +72,19 @@
     pub pause_ms: f64,
 }
 
-/// Returns what is known of the groups of the candidates, from their reports, the usual time of a pass, and
-/// the streams that this gateway relays.
+/// Returns what is known of the groups of the candidates, from their reports, the time that an engine of
+/// normal speed needs for a pass with a number of running requests, and the streams that this gateway
+/// relays.
 ///
-/// The slowest backend determines the pace of a group.
+/// The slowest backend determines the pace of a group, so `candidates` includes backends that are too slow
+/// to take requests. Their part of a pass shrinks as their own requests end; for others the mean of all
+/// counts.
 pub fn views(
     candidates: &[Candidate],
-    pass_ms: f64,
+    pass_ms: impl Fn(f64) -> f64,
     relayed: impl Fn(GroupKey) -> RelayedPace,
 ) -> Vec<GroupView> {
+    let usual_ms = pass_ms(mean_running(candidates));
     let mut groups: IndexMap<GroupKey, GroupView> = IndexMap::new();
     let reports = candidates.iter().filter_map(|c| Some((c, c.report?, c.report?.group?)));
     for (candidate, report, key) in reports {
@@ -90,7 +94,11 @@
         });
         let free = candidate.slots.saturating_sub(candidate.load());
         group.free = group.free.saturating_add(free);
-        group.pause_ms = group.pause_ms.max(pass_ms * report.slowdown.max(1.0));
+        let expected_ms = match report.slowdown {
+            slowdown if slowdown > 1.0 => slowdown * pass_ms(candidate.running()),
+            _ => usual_ms,
+        };
+        group.pause_ms = group.pause_ms.max(expected_ms);
         group.is_serving &= report.is_serving;
     }
     groups.into_values().collect()
--- a/core/src/least_loaded.rs
+++ b/core/src/least_loaded.rs
@@ -133,6 +133,11 @@
         reported.saturating_sub(self.ended_since_report).max(self.own_requests)
     }
 
+    /// Returns the estimated number of running requests.
+    pub fn running(&self) -> f64 {
+        f64::from(self.load().min(self.slots))
+    }
+
     /// Returns the room that the report shows, or `None` without a report.
     fn reported_room(&self, limits: Limits) -> Option<u32> {
         let report = self.report?;
@@ -228,6 +233,11 @@
     NoBackend,
 }
 
+/// Returns the mean number of running requests per backend.
+pub fn mean_running(candidates: &[Candidate]) -> f64 {
+    candidates.iter().map(Candidate::running).sum::<f64>() / candidates.len().max(1) as f64
+}
+
 /// Returns how many randomly drawn backends a gateway compares.
 ///
 /// Gateways that know the same reports would all send to the same least loaded backend until its next
--- a/core/tests/uneven_groups.rs
+++ b/core/tests/uneven_groups.rs
@@ -138,7 +138,7 @@
             let pause_ms = pace.pause_ms(now_ms).unwrap_or_default();
             RelayedPace { start_ms: pace.least_start_ms(now_ms), pause_ms }
         };
-        let views = views(&all, PASS_MS as f64, relayed);
+        let views = views(&all, |_| PASS_MS as f64, relayed);
         let names: Vec<String> = (0..GATEWAYS).map(|other| format!("{other:02}")).collect();
         let others = names.iter().filter(|name| **name != names[gateway]);
         let others = others.map(|name| (name.as_str(), 1.0));
@@ -304,6 +304,40 @@
     assert!(now.late <= before.late && now.rejected <= before.rejected, "{now:?}, {before:?}");
 }
 
+/// Returns the pauses that are expected in two groups of two engines. One engine of the first group runs at
+/// a fifth of the normal speed and has `running` requests.
+fn expected_pauses_ms(running: u32) -> Vec<f64> {
+    let candidate = |key: u32| {
+        let (active, slowdown) = if key == 0 { (running, 5.0) } else { (4, 1.0) };
+        let group = Some(GroupKey(u64::from(key / 2)));
+        let report =
+            LoadReport { active, slowdown, group, is_serving: true, ..LoadReport::default() };
+        Candidate {
+            key: FleetKey(key),
+            slots: SLOTS,
+            own_requests: 0,
+            sent_since_report: 0,
+            ended_since_report: 0,
+            report: Some(report),
+            ejected: false,
+            local: true,
+        }
+    };
+    let candidates: Vec<Candidate> = (0..4).map(candidate).collect();
+    let relayed = |_| RelayedPace { start_ms: 0.0, pause_ms: 0.0 };
+    let views = views(&candidates, |running| 20.0 + 5.0 * running, relayed);
+    views.iter().map(|group| group.pause_ms).collect()
+}
+
+/// Guards against new requests in a group with a very slow engine, and against a group that stays unused
+/// although that engine has ended its requests and the group is on time again.
+#[test]
+fn slow_engine_drains() {
+    assert_eq!(expected_pauses_ms(4), [200.0, 40.0]);
+    let drained = expected_pauses_ms(0);
+    assert!(drained[0] == 100.0 && drained[0] < TARGETS.pause_ms, "{drained:?}");
+}
+
 fn group(key: u64, pause_ms: f64) -> GroupView {
     GroupView { key: GroupKey(key), free: 100, start_ms: 120.0, pause_ms, is_serving: true }
 }
@@ -367,7 +401,7 @@
     };
     let all = [candidate(0, 1.0, true), candidate(1, 3.0, true), candidate(2, 0.0, false)];
     let relayed = |_| RelayedPace { start_ms: 120.0, pause_ms: 80.0 };
-    let groups = views(&all, 70.0, relayed);
+    let groups = views(&all, |_| 70.0, relayed);
     let found: Vec<_> = groups.iter().map(|g| (g.free, g.pause_ms, g.is_serving)).collect();
     assert_eq!(found, [(12, 210.0, true), (6, 80.0, false)]);
 }
--- a/daemon/src/placement.rs
+++ b/daemon/src/placement.rs
@@ -10,7 +10,9 @@
 use currantlink_core::even_load::{self, Competition, GatewayShare, Selection};
 use currantlink_core::fleet::FleetKey;
 use currantlink_core::group_choice::{self, GroupKey, RelayedPace, Targets};
-use currantlink_core::least_loaded::{self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS};
+use currantlink_core::least_loaded::{
+    self, Candidate, Choice, Limits, MAX_REPORT_AGE_MS, mean_running,
+};
 use currantlink_core::pace::pass_ms;
 use currantlink_core::stream_pace::StreamPace;
 use derive_more::From;
@@ -36,12 +38,19 @@
     evacuated: usize,
     /// Whether backends outside evacuated failure domains accept requests, to this process or others.
     has_remaining: bool,
-    /// Number of engines that take fewer requests because they are slower than others.
-    slow_engines: usize,
     /// Why a backend that takes a request again soonest was excluded, if one was excluded for a time.
     excluded: Option<Clearance>,
 }
 
+impl CandidateSet {
+    /// Reduces the slots of slow engines to what they can run without delaying their groups, and returns
+    /// the number of slow engines, or `None` if the service has no expert maps.
+    fn limit_slow_engines(&mut self, call: &Call) -> Option<usize> {
+        let engine = call.service().engine.as_ref().filter(|engine| engine.experts.is_some())?;
+        Some(least_loaded::limit_slow_engines(&mut self.candidates, engine))
+    }
+}
+
 /// A stream that has events; its end is recorded when dropped.
 pub struct StreamInProgress {
     gateway: Rc<Gateway>,
@@ -109,10 +118,13 @@
         tried: &[FleetKey],
     ) -> Result<Placement, PlacementError> {
         let now = now_ms();
-        let set = self.candidate_set(call, tried, now);
-        if call.service().engine.as_ref().is_some_and(|engine| engine.experts.is_some()) {
+        let mut set = self.candidate_set(call, tried, now);
+        // An engine that is too slow for requests still determines the pace of its group.
+        let preferred = self.preferred_group(call, &set.candidates, now);
+        let slow_engines = set.limit_slow_engines(call);
+        if let Some(slow_engines) = slow_engines {
             metrics::gauge!("currantlink_slow_engines", "service" => call.service().name.clone())
-                .set(set.slow_engines as f64);
+                .set(slow_engines as f64);
         }
         if set.evacuated > 0 && !set.has_remaining {
             return Err(PlacementError::Rejected(self.evacuated_rejection(call, set.evacuated)));
@@ -147,7 +159,6 @@
             let competition = Competition { share, competing, sample_size };
             even_load::choose(candidates, limits, competition, rand::random())
         };
-        let preferred = self.preferred_group(call, &candidates, now);
         // Once its slots are in use, a preferred group is no better than the others.
         let free = Limits { queued: 0, ..limits };
         let preferred = preferred.map(|group| select(&members(&candidates, group), free));
@@ -301,7 +312,6 @@
             is_capped: false,
             evacuated: 0,
             has_remaining: false,
-            slow_engines: 0,
             excluded: None,
         };
         for (key, member) in snapshot.fleet.available(&call.service().name) {
@@ -343,12 +353,16 @@
                 local: member.announcement.failure_domain == domain,
             });
         }
-        if let Some(engine) = call.service().engine.as_ref().filter(|e| e.experts.is_some()) {
-            set.slow_engines = least_loaded::limit_slow_engines(&mut set.candidates, engine);
-        }
         set
     }
 
+    /// Returns the backends that may take a request, slow engines with fewer slots.
+    fn usable_candidates(&self, call: &Call, now: u64) -> Vec<Candidate> {
+        let mut set = self.candidate_set(call, &[], now);
+        set.limit_slow_engines(call);
+        set.candidates
+    }
+
     /// Returns how many requests each engine may run concurrently without exceeding the route's
     /// pause target.
     fn running_limit(&self, call: &Call, now: u64) -> Option<u32> {
@@ -374,7 +388,7 @@
     /// Returns the load of the backends that may take a request.
     pub(crate) fn room(&self, call: &Call) -> Room {
         let now = now_ms();
-        let CandidateSet { candidates, .. } = self.candidate_set(call, &[], now);
+        let candidates = self.usable_candidates(call, now);
         let limit = self.running_limit(call, now).unwrap_or(u32::MAX);
         let sum = |count: &dyn Fn(&Candidate) -> u32| {
             candidates.iter().map(|c| u64::from(count(c))).sum()
@@ -404,7 +418,7 @@
     /// when it can send another one while all backends are full.
     pub(crate) fn release_interval_ms(&self, call: &Call) -> f64 {
         let now = now_ms();
-        let CandidateSet { candidates, .. } = self.candidate_set(call, &[], now);
+        let candidates = self.usable_candidates(call, now);
         let duration_ms = self.duration_ms(call, now);
         let sum =
             |count: fn(&Candidate) -> u32| candidates.iter().map(|c| u64::from(count(c))).sum();
@@ -480,13 +494,12 @@
         };
         let mut observations = self.observations.borrow_mut();
         let Observations { group_paces, group_choosers, .. } = &mut *observations;
-        let pass_ms = pass_ms(engine, mean_running(candidates));
         let relayed = |key| {
             let pace = group_paces.get(&key).copied().unwrap_or_default();
             let pause_ms = pace.pause_ms(now).unwrap_or_default();
             RelayedPace { start_ms: pace.least_start_ms(now), pause_ms }
         };
-        let groups = group_choice::views(candidates, pass_ms, relayed);
+        let groups = group_choice::views(candidates, |running| pass_ms(engine, running), relayed);
         if groups.len() < 2 {
             return None;
         }
@@ -559,8 +572,3 @@
     let is_member = |c: &&Candidate| c.report.is_some_and(|report| report.group == Some(group));
     candidates.iter().filter(is_member).copied().collect()
 }
-
-fn mean_running(candidates: &[Candidate]) -> f64 {
-    let running = candidates.iter().map(|c| c.load().min(c.slots));
-    f64::from(running.sum::<u32>()) / candidates.len().max(1) as f64
-}
