Keep the first gateway that settles to the equal division of a cold backend's rate

Cause: when all gateways start together, they divide lanes equally until they know of a settled gateway. The first one that settled took its lanes by its claim at once, although the views of the others are up to 2.5 s old, so a lane had several owners.

Change: a gateway that has begun by the equal division owns by its claim only lanes that it owns in the equal division too, until 3 s after it first knew of a settled gateway. Ruled out: no lanes at all in this time, which leaves the rate unused.

--- a/core/src/rate_lanes.rs
+++ b/core/src/rate_lanes.rs
@@ -53,6 +53,10 @@
 /// Age from which a gateway owns lanes although it has not announced claims for long enough, if none of the
 /// others has either. Gateways that have send a hello message within this time.
 const BEGIN_MS: u64 = 700;
+/// Time for which a gateway that knows of a settled one still owns only lanes that it owns in an equal
+/// division too. Others divide equally until they know of a settled gateway: their views are 2,500 ms old at
+/// most, and a division is in use for [`DIVISION_VALID_MS`].
+const EQUAL_LAPSE_MS: u64 = 3_000;
 /// Multiple of a lane's rate below which the weight of a gateway falls with the square of its claim: a
 /// gateway with few requests leaves a lane unused while it waits for the next one.
 const AMPLE_CLAIM: f64 = 4.0;
@@ -134,6 +138,10 @@
     sampled_at_ms: Option<u64>,
     /// Time since which the demand is sampled without a gap.
     sampled_since_ms: u64,
+    /// Whether this gateway has owned lanes before it was settled.
+    has_begun: bool,
+    /// Time at which it knew first that a gateway, itself included, was settled, if it had begun before.
+    settled_known_ms: Option<u64>,
     /// Announced claims, each with the time since which it was announced, oldest first.
     own: VecDeque<(u64, f64)>,
     others: IndexMap<u64, ReceivedClaim>,
@@ -157,6 +165,8 @@
     /// This gateway, unless it may own no lane.
     own: Option<(u64, f64)>,
     others: Vec<(u64, f64)>,
+    /// The other gateways of an equal division, if this gateway owns only lanes that it owns in it too.
+    equal: Option<Vec<u64>>,
 }
 
 impl DemandClaims {
@@ -167,6 +177,8 @@
             demand_per_s: 0.0,
             sampled_at_ms: None,
             sampled_since_ms: 0,
+            has_begun: false,
+            settled_known_ms: None,
             own: VecDeque::new(),
             others: IndexMap::new(),
             known: None,
@@ -194,6 +206,7 @@
                 self.own = VecDeque::from([(now_ms, claim_before)]);
                 self.demand_per_s = per_s;
                 self.sampled_since_ms = now_ms;
+                (self.has_begun, self.settled_known_ms) = (false, None);
             }
         }
         if differs(claim_before, per_s, SAMPLE_CHANCE) {
@@ -215,6 +228,11 @@
             self.own.pop_front();
         }
         self.others.retain(|_, other| now_ms < other.received_at_ms + CUT_OFF_MS);
+        let is_settled = self.is_settled(now_ms);
+        self.has_begun |= !is_settled && self.may_begin(now_ms);
+        if self.has_begun && (is_settled || self.knows_settled(now_ms)) {
+            self.settled_known_ms.get_or_insert(now_ms);
+        }
         claim
     }
 
@@ -241,8 +259,8 @@
     /// claim as much as this one.
     ///
     /// If none of the gateways is settled, as after a loss of power of all, the lanes are divided equally
-    /// among those that are known to exist. The first one that settles waits for the spacing of its lanes,
-    /// and has told the others by then.
+    /// among those that are known to exist. Until the others know of the first one that settles, it owns only
+    /// lanes that it owns in this division too.
     pub fn competitors(&self, plan: LanePlan, now_ms: u64) -> Competitors {
         let silent = self.others.values().filter(|other| !other.is_current(now_ms)).count();
         let is_cut_off = silent as f64 > MAX_SILENT_SHARE * (self.others.len() + 1) as f64;
@@ -251,19 +269,22 @@
         let mut others: Vec<(u64, f64)> =
             others.map(|(&hash, other)| (hash, plan.weight(other.per_s))).collect();
         let Some(known) = self.known.as_ref() else {
-            return Competitors { at_ms: now_ms, own: None, others };
+            return Competitors { at_ms: now_ms, own: None, others, equal: None };
         };
+        let other_known = || known.iter().copied().filter(|hash| *hash != self.own_hash);
         if !self.is_settled(now_ms) {
             let own = self.may_begin(now_ms).then_some((self.own_hash, 1.0));
-            let known = known.iter().copied().filter(|hash| *hash != self.own_hash);
-            let others = known.map(|hash| (hash, 1.0)).collect();
-            return Competitors { at_ms: now_ms, own, others };
+            let others = other_known().map(|hash| (hash, 1.0)).collect();
+            return Competitors { at_ms: now_ms, own, others, equal: None };
         }
+        let is_lapsed = |known_ms: u64| now_ms >= known_ms + EQUAL_LAPSE_MS;
+        let is_equal = self.has_begun && !self.settled_known_ms.is_some_and(is_lapsed);
+        let equal = is_equal.then(|| other_known().collect());
         let claims = self.own.iter().map(|&(_, claim)| claim);
         let own = plan.weight(claims.fold(f64::INFINITY, f64::min));
-        let is_unheard = |hash: &u64| *hash != self.own_hash && !self.others.contains_key(hash);
-        others.extend(known.iter().copied().filter(is_unheard).map(|hash| (hash, own)));
-        Competitors { at_ms: now_ms, own: Some((self.own_hash, own)), others }
+        let unheard = other_known().filter(|hash| !self.others.contains_key(hash));
+        others.extend(unheard.map(|hash| (hash, own)));
+        Competitors { at_ms: now_ms, own: Some((self.own_hash, own)), others, equal }
     }
 }
 
@@ -274,7 +295,11 @@
         knows_others
             && self.sampled_at_ms.is_some()
             && now_ms >= self.sampled_since_ms + BEGIN_MS
-            && !self.others.values().any(|other| other.is_settled && other.is_current(now_ms))
+            && !self.knows_settled(now_ms)
+    }
+
+    fn knows_settled(&self, now_ms: u64) -> bool {
+        self.others.values().any(|other| other.is_settled && other.is_current(now_ms))
     }
 }
 
@@ -290,7 +315,10 @@
             return false;
         };
         let own = (score(seed, own_hash, own_weight), own_hash);
+        let own_equal = (score(seed, own_hash, 1.0), own_hash);
+        let mut equal = self.equal.iter().flatten();
         self.others.iter().all(|&(hash, weight)| own < (score(seed, hash, weight), hash))
+            && equal.all(|&hash| own_equal < (score(seed, hash, 1.0), hash))
     }
 }
 
