Check the platform's configuration record before it is published

Cause: gateways take each record with a higher version that they can decode. Much that is decodable has no effect, or another one than intended, and operators saw this only in production.

Change: `currantlink config check-record [--active FILE] [--json] FILE` prints findings and the differences from the active version. Wrong arguments of all subcommands exit with 2, as 1 means that errors were found.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -1,9 +1,15 @@
 //! Command-line arguments.
 
 use std::path::PathBuf;
+use std::process;
 
 use bpaf::Bpaf;
 
+use crate::error::INPUT_EXIT_CODE;
+
+/// Width of the help text in columns.
+const HELP_WIDTH: usize = 100;
+
 /// Operate a currantlink load balancer and send requests through it.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -42,9 +48,24 @@
 /// Subcommands of `config`.
 #[derive(Clone, Debug, Bpaf)]
 pub enum ConfigArgs {
-    /// Check a folder of configuration files offline.
+    /// Check a folder of currantlink's own configuration files offline.
+    ///
+    ///
+    /// These are the files with workspaces, services, adapters, groups and backends that `config apply`
+    /// publishes. For the configuration record of the platform, see `config check-record`.
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
+    /// Check a file with the platform's configuration record before it is published.
+    ///
+    ///
+    /// This is the JSON with version, routes, services, limits and tenants that the operator of a
+    /// platform writes to its store. For currantlink's own files, see `config check`.
+    ///
+    ///
+    /// Exit codes: 0 no errors, 1 errors found, 2 wrong arguments or the file cannot be read, 9 the
+    /// active version cannot be read, so the file was checked but not compared.
+    #[bpaf(command("check-record"))]
+    CheckRecord(#[bpaf(external(check_record))] CheckRecord),
     /// Publish the files of a folder.
     #[bpaf(command)]
     Apply(#[bpaf(external(apply))] Apply),
@@ -83,6 +104,19 @@
     pub folder: PathBuf,
 }
 
+/// Arguments of `config check-record`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CheckRecord {
+    /// File with the active version of the record. Prints also the differences from it.
+    #[bpaf(argument("FILE"), optional)]
+    pub active: Option<PathBuf>,
+    /// Print JSON.
+    pub json: bool,
+    /// File with the record to check.
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
+}
+
 /// Arguments of `config apply`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Apply {
@@ -200,5 +234,11 @@
 
 /// Parses the command line. Prints help or an error and exits if requested or if parsing fails.
 pub fn parse() -> Args {
-    args().run()
+    args().run_inner(bpaf::Args::current_args()).unwrap_or_else(|failure| {
+        failure.print_message(HELP_WIDTH);
+        match failure.exit_code() {
+            0 => process::exit(0),
+            _ => process::exit(i32::from(INPUT_EXIT_CODE)),
+        }
+    })
 }
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -3,8 +3,13 @@
 use std::io;
 use std::path::PathBuf;
 
+use currantlink_platform::error::DecodeError;
 use derive_more::{Display, Error, From};
 
+/// Exit code for wrong arguments and for a record that cannot be read. A check exits with 1 if it finds
+/// errors, so these need another code.
+pub const INPUT_EXIT_CODE: u8 = 2;
+
 /// Error that ends a command.
 #[derive(Debug, Display, Error, From)]
 pub enum CliError {
@@ -64,6 +69,35 @@
         /// Number of problems.
         count: usize,
     },
+    /// The file with a configuration record cannot be read.
+    #[display("could not read {}: {source}", path.display())]
+    #[from(ignore)]
+    Record {
+        /// Path of the file.
+        path: PathBuf,
+        /// Underlying error.
+        source: io::Error,
+    },
+    /// A configuration record has errors, which are already printed.
+    #[display("errors in {}: {count}", path.display())]
+    #[from(ignore)]
+    RecordErrors {
+        /// Path of the file.
+        path: PathBuf,
+        /// Number of errors.
+        count: usize,
+    },
+    /// The findings are already printed, but the active version of the record could not be read.
+    #[display("could not compare with {}: {source}; errors in the checked file: {count}", path.display())]
+    #[from(ignore)]
+    NotCompared {
+        /// Path of the file with the active version.
+        path: PathBuf,
+        /// Underlying error.
+        source: ActiveRecordError,
+        /// Number of errors in the checked file.
+        count: usize,
+    },
     /// The change conflicts with a change that was accepted earlier.
     #[display("conflict: {details}")]
     #[from(ignore)]
@@ -95,6 +129,15 @@
     TooManyRedirects,
 }
 
+/// The active version of a configuration record cannot be used.
+#[derive(Debug, Display, Error, From)]
+pub enum ActiveRecordError {
+    /// The file cannot be read.
+    Read(io::Error),
+    /// The file is no configuration.
+    Decode(DecodeError),
+}
+
 /// Returns the innermost error, for example a refused connection.
 fn root_cause(error: &dyn std::error::Error) -> String {
     match error.source() {
@@ -104,16 +147,18 @@
 }
 
 impl CliError {
-    /// Returns the exit code: 1 other, 3 refused, 4 conflict, 5 not run, 6 failed, 7 unknown,
-    /// 8 unreachable.
+    /// Returns the exit code: 1 other, 2 unreadable record, 3 refused, 4 conflict, 5 not run, 6 failed,
+    /// 7 unknown, 8 unreachable, 9 not compared.
     pub fn exit_code(&self) -> u8 {
         match self {
+            CliError::Record { .. } => INPUT_EXIT_CODE,
             CliError::Problems { .. } | CliError::Refused { .. } => 3,
             CliError::Conflict { .. } => 4,
             CliError::RequestFailed { outcome, .. } if outcome == "not-run" => 5,
             CliError::RequestFailed { outcome, .. } if outcome == "failed" => 6,
             CliError::RequestFailed { .. } | CliError::Interrupted(_) => 7,
             CliError::Unreachable { .. } => 8,
+            CliError::NotCompared { .. } => 9,
             _ => 1,
         }
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod ask;
 mod backends;
 mod check;
+mod check_record;
 mod client;
 mod drain;
 mod error;
@@ -37,6 +38,7 @@
 async fn run(args: Args) -> Result<(), CliError> {
     match args {
         Args::Config(ConfigArgs::Check(command)) => command.run(),
+        Args::Config(ConfigArgs::CheckRecord(command)) => command.run(),
         Args::Config(ConfigArgs::Apply(command)) => command.run().await,
         Args::Config(ConfigArgs::Pull(command)) => command.run().await,
         Args::Config(ConfigArgs::Show(command)) => command.run().await,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -61,6 +61,8 @@
 pub mod subset;
 pub mod suspects;
 pub mod switch;
+pub mod table_check;
+pub mod table_diff;
 pub mod ticket;
 pub mod trials;
 pub mod turns;
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -303,6 +303,11 @@
         self.limits
     }
 
+    /// Returns the workspaces, or `None` if no route requires an API key.
+    pub fn workspaces(&self) -> Option<&[WorkspaceKeys]> {
+        self.workspaces.as_deref()
+    }
+
     /// Returns whether the configuration defines API keys.
     pub fn has_keys(&self) -> bool {
         self.workspaces.is_some()
@@ -339,6 +344,18 @@
         keys.iter().copied().find(|&key| path.starts_with(&self.route(key).path_prefix))
     }
 
+    /// Returns the route that gets the requests with the host and path prefix of a route: the route
+    /// itself, unless another one always wins over it. Returns `None` if no request matches the route.
+    pub fn effective_route(&self, key: RouteKey) -> Option<RouteKey> {
+        let Route { host, path_prefix, .. } = self.route(key);
+        // The shortest path with this prefix. A route that wins for it wins for all longer paths, as
+        // only an equally long prefix can win for it.
+        let path = Some(path_prefix.as_str()).filter(|path| !path.is_empty()).unwrap_or("/");
+        let winner = self.find_route(host, path).filter(|_| is_host(host) && is_path(path))?;
+        // A host is looked up without its port, so a host with a port finds the routes of another one.
+        (self.route(winner).host == *host).then_some(winner)
+    }
+
     /// Selects a service of the route by traffic weight. `draw` is a uniform random number.
     pub fn pick_pool(&self, route: RouteKey, draw: u64) -> Option<PoolKey> {
         let split = &self.route(route).split;
@@ -357,6 +374,17 @@
     }
 }
 
+/// Returns whether a request can have this host. There are no wildcards.
+fn is_host(host: &str) -> bool {
+    !host.contains(|c: char| matches!(c, '*' | '/' | '?' | '#') || c.is_whitespace())
+}
+
+/// Returns whether a request can have this path, which is without a query.
+fn is_path(path: &str) -> bool {
+    path.starts_with('/')
+        && !path.contains(|c: char| matches!(c, '?' | '#') || c.is_whitespace() || c.is_control())
+}
+
 /// Returns the priorities of the routes of each service, in order and without repetitions.
 fn differing_priorities(routes: &[Route], pools: usize) -> Vec<Vec<u32>> {
     let mut priorities = vec![Vec::new(); pools];
