--- a/core/tests/table_check.rs
+++ b/core/tests/table_check.rs
@@ -127,6 +127,9 @@
         let found = found(|parts| parts.routes[0].host = host.into());
         assert_eq!(found, error(Entry::Route(0), None, "unmatchable-route"), "{host}");
     }
+    let with_port = Route { host: "a.example:80".into(), ..route("r2", "/a/") };
+    let with_port = found(|parts| parts.routes.push(with_port));
+    assert_eq!(with_port, error(Entry::Route(2), None, "unmatchable-route"), "not a duplicate");
     let asterisk = found(|parts| parts.routes[0].path_prefix = "/a/*".into());
     assert_eq!(asterisk, warning(Entry::Route(0), Field::PathPrefix, "literal-asterisk"));
 }
