Let a stream that has begun wait for its next event while its backend is sound

Cause: a gateway ended a stream that has begun 100 ms before its caller would leave, which gains nothing, as no other response can be sent. An attempt to end it only while a backend of its group reports a stall failed left_mid_stream, because the gateway has no report of the backend whose agent is stopped: the test stops that agent before it has found the gateway, so the group of its backend is unknown and it does not count as silent.

Change: core::stalls tells which listed backends of a service can be expected to send events. A stall applies to all ranks of the group and to backends that have sent no report; a backend whose agent has reported and is not heard for 800 ms is not sound either. Streams whose head has been passed on end early only at backends that are not sound.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod share;
 pub mod shared_reads;
 pub mod silence;
+pub mod stalls;
 pub mod stop;
 pub mod stream_pace;
 pub mod submission;
--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -358,6 +358,15 @@
     ) -> Waited<T> {
         let patience = call.patience();
         let left = Duration::from_millis(patience.left_ms());
+        let missed = async {
+            tokio::time::sleep(left).await;
+            // The caller of a stream that has begun can be sent no other response, so an early end gains
+            // nothing while the event can still come.
+            if call.progress.has_head() {
+                self.log_late_stream(call, key);
+                self.sound.until_unsound(key).await;
+            }
+        };
         tokio::select! {
             biased;
             read = reading => Waited::Read(read),
@@ -371,13 +380,27 @@
                 metrics::counter!("currantlink_attempts_abandoned_total").increment(1);
                 Waited::Silent
             }
-            () = tokio::time::sleep(left), if patience.ends_before_deadline() => {
+            () = missed, if patience.ends_before_deadline() => {
                 metrics::counter!("currantlink_events_missed_total").increment(1);
                 Waited::NoEvent
             }
         }
     }
 
+    /// Logs that a stream that has begun has had no event for almost as long as its caller waits.
+    fn log_late_stream(&self, call: &Call, key: FleetKey) {
+        let snapshot = self.snapshot.load();
+        let member = snapshot.fleet.get(key);
+        let report = member.and_then(|m| self.load_reports.get(m.announcement.address));
+        let report_age_ms = report.map(|report| report.age_ms(now_ms()));
+        let is_sound = self.sound.contains(key);
+        let unheard_ms = call.progress.unheard().as_millis() as u64;
+        log::info!(request = call.attempt_id.as_str(), backend = member.map(|m| m.id.as_str()),
+            unheard_ms, is_sound, report_age_ms; "stream is late for its caller");
+        metrics::counter!("currantlink_late_streams_total", "is_sound" => is_sound.to_string())
+            .increment(1);
+    }
+
     /// Sends the request and reads responses until one belongs to the request.
     ///
     /// A response belongs to the request if it carries the attempt id, or reports not-run without an id
--- a/daemon/src/departure.rs
+++ b/daemon/src/departure.rs
@@ -19,6 +19,8 @@
     dispatch: Option<Dispatch>,
     /// Time of the last event that the caller was sent, or of the request's arrival.
     heard_at: Instant,
+    /// Whether the caller has the head of a response, so that it cannot be sent another one.
+    has_head: bool,
 }
 
 /// The latest dispatch of a request.
@@ -47,7 +49,7 @@
 impl Progress {
     /// Creates the progress of a request that has arrived and was not sent yet.
     pub fn new(arrived_at: Instant) -> Self {
-        Self(Rc::new(Cell::new(Steps { dispatch: None, heard_at: arrived_at })))
+        Self(Rc::new(Cell::new(Steps { dispatch: None, heard_at: arrived_at, has_head: false })))
     }
 
     /// Records that the request is sent to a backend.
@@ -62,7 +64,17 @@
     pub fn record_event(&self) {
         let dispatch = self.0.get().dispatch;
         let dispatch = dispatch.map(|dispatch| Dispatch { has_events: true, ..dispatch });
-        self.0.set(Steps { dispatch, heard_at: Instant::now() });
+        self.0.set(Steps { dispatch, heard_at: Instant::now(), ..self.0.get() });
+    }
+
+    /// Records that the head of the response is passed on.
+    pub fn record_head(&self) {
+        self.0.set(Steps { has_head: true, ..self.0.get() });
+    }
+
+    /// Returns whether the caller has the head of a response.
+    pub fn has_head(&self) -> bool {
+        self.0.get().has_head
     }
 
     /// Returns the time for which the caller has been sent nothing.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod side_control;
 pub mod silent;
 pub mod sockets;
+pub mod sound_backends;
 pub mod stated_limits;
 pub mod stop;
 pub mod stream_relay;
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -19,6 +19,7 @@
 use currantlink_core::routes::{Pool as Service, PoolKey, Route, RouteKey, RouteTable};
 use currantlink_core::share::RetryShare;
 use currantlink_core::silence::{self, LastHeard};
+use currantlink_core::stalls::{self, BackendState, PassReport};
 use currantlink_core::stop::Acceptance;
 use currantlink_core::stream_pace::StreamPace;
 use currantlink_core::turns::UrgencyClass;
@@ -46,6 +47,7 @@
 use crate::response_body::ResponseBody;
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
 use crate::silent::SilentBackends;
+use crate::sound_backends::SoundBackends;
 use crate::stated_limits::StatedLimits;
 use crate::stream_relay::{self, RelayedStream};
 use crate::trials::{SharedTrials, Trial};
@@ -71,6 +73,7 @@
     pub(crate) callers: CallerBudget,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
+    pub(crate) sound: SoundBackends,
     pub(crate) turns: Turns,
     in_flight: InFlightRequests,
     /// Time of the stop signal and what is accepted since.
@@ -225,6 +228,7 @@
             callers: CallerBudget::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
+            sound: SoundBackends::default(),
             turns: Turns::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
@@ -343,24 +347,37 @@
         evacuated.for_each(|(key, _)| self.pool.close_idle(key));
     }
 
-    /// Determines which of the backends with an agent are silent.
+    /// Determines which backends are sound, and which of those with an agent are silent.
     pub fn update_silent(&self) {
         let (now, snapshot) = (now_ms(), self.snapshot.load());
         let mut heard = IndexMap::<&str, Vec<LastHeard<FleetKey>>>::new();
+        let mut states = IndexMap::<&str, Vec<BackendState<FleetKey>>>::new();
         for (key, member) in snapshot.fleet.listed() {
             let report = self.load_reports.get(member.announcement.address);
             // An older report is about an earlier backend with the same address.
-            if let Some(report) = report.filter(|r| r.received_at_ms >= member.known_since_ms) {
-                let heard_at_ms = report.received_at_ms.max(self.pool.heard_at_ms(key));
-                let interval_ms = report.interval_ms;
-                heard.entry(&member.announcement.service).or_default().push(LastHeard {
+            let report = report.filter(|r| r.received_at_ms >= member.known_since_ms);
+            let heard_at_ms =
+                report.map(|report| report.received_at_ms.max(self.pool.heard_at_ms(key)));
+            let service = member.announcement.service.as_str();
+            let pass_report = report.zip(heard_at_ms).map(|(report, heard_at_ms)| PassReport {
+                group: report.group,
+                is_serving: report.is_serving,
+                age_ms: report.age_ms(now),
+                heard_age_ms: now.saturating_sub(heard_at_ms),
+                is_agent_stopping: report.is_last,
+            });
+            states.entry(service).or_default().push(BackendState { key, report: pass_report });
+            if let Some((report, heard_at_ms)) = report.zip(heard_at_ms) {
+                heard.entry(service).or_default().push(LastHeard {
                     key,
                     heard_at_ms,
-                    interval_ms,
+                    interval_ms: report.interval_ms,
                     is_agent_stopping: report.is_last,
                 });
             }
         }
+        let sound = states.values().flat_map(|states| stalls::sound_backends(states));
+        self.sound.replace(sound.collect());
         let silent = heard.values().flat_map(|heard| silence::silent_backends(heard, now));
         self.silent.replace(silent.collect(), &snapshot.fleet);
     }
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -84,6 +84,7 @@
         tried: Vec<FleetKey>,
         response: Box<BackendResponse>,
     ) -> Self {
+        call.progress.record_head();
         let splitter = EventSplitter::new(call.metadata.last_event_id);
         let pauses = Some(PauseMeter::new(response.running));
         let head = (response.head.status, content_type(&response));
