Test a backend that advertises an idle timeout without end

Cause: the clamp of idle lifetimes in the connection pool had no test. Result: endless_keep_alive passes; without the clamp it fails with an overflow of the instant.

--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -5,7 +5,10 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
+use currantlink_core::fleet::FleetKey;
+use currantlink_daemon::pool::ConnectionPool;
 use currantlink_daemon::upstream::{Framing, Upstream, UpstreamError};
+use currantlink_platform::response::KeepAlive;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -149,3 +152,12 @@
     let error = endless(head, b"a: b\r\n").await;
     assert!(matches!(error, UpstreamError::Malformed { .. }), "{error}");
 }
+
+/// Guards against a panic if a backend advertises an idle timeout that no point in time can express.
+#[tokio::test]
+async fn endless_keep_alive() {
+    let (upstream, _backend) = pair().await;
+    let in_flight = ConnectionPool::default().begin_request(FleetKey(0), 0);
+    in_flight.put_idle(upstream, KeepAlive::Timeout(Duration::from_secs(u64::MAX)));
+    assert!(in_flight.take_idle().is_some(), "the connection is not reused");
+}
