Test requests that connect or wait when an evacuation arrives

Cause: no test showed that a request that was connecting to a backend, or waiting in the gateway's queue, when the evacuation arrived is not sent to a backend there.

Change: connecting_request and waiting_request in daemon/tests/evacuation.rs. The connection in the first one does not open within 400 ms, since the loopback interface cannot delay one and open it in time: the packet is repeated after 1 s only. So the check after an opened connection in attempts.rs is still not covered. Tried: to suspend the gateway until the connection opens. The timer then fires first and the attempt times out.

--- a/daemon/tests/evacuation.rs
+++ b/daemon/tests/evacuation.rs
@@ -10,12 +10,17 @@
 use currantlink_platform::names;
 use currantlink_standins::backends::{Backend, Fault};
 use currantlink_standins::deployment::{
-    ClientRequest, Deployment, IDEMPOTENT, KEY, ONCE, RESUMABLE, Shape, send_request, wait_until,
+    self, ClientRequest, ClientResponse, Deployment, IDEMPOTENT, KEY, ONCE, RESUMABLE, Shape,
+    send_request, wait_until,
 };
 use currantlink_standins::records::Health;
 use currantlink_standins::relay::Relay;
 use harness::status_code;
+use socket2::{Domain, Socket, Type};
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 /// Time by which an evacuation takes effect, as stated to the operator.
 const LIMIT: Duration = Duration::from_millis(5_000);
@@ -270,3 +275,121 @@
     deployment.lift_evacuation("c");
     wait_until(suspended(false)).await;
 }
+
+/// Returns a listener that completes no further connection until connections are accepted, and the
+/// connections that it holds.
+async fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(socket.into()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let connect = || tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address));
+    let mut held = Vec::new();
+    while let Ok(connection) = connect().await {
+        held.push(connection.unwrap());
+    }
+    (listener, held)
+}
+
+fn spawn_request(
+    deployment: &Deployment,
+    method: &str,
+    path: &str,
+    id: String,
+) -> JoinHandle<ClientResponse> {
+    let (gateway, request) =
+        (deployment.gateways[0].callers, ClientRequest::new(method, path, &id));
+    tokio::spawn(async move { send_request(gateway, &request).await })
+}
+
+/// Guards against a request that is sent to an evacuated domain, to the same backend or another one, because
+/// it was connecting when the evacuation arrived. The connection does not open within the gateway's limit: on
+/// the loopback interface, none can be delayed and open before.
+#[tokio::test]
+async fn connecting_request() {
+    /// Time after which a request that has no response is connecting.
+    const CONNECTING_AFTER: Duration = Duration::from_millis(60);
+    /// More than the time after which the first packet of a connection is sent again.
+    const REPEATED_AFTER: Duration = Duration::from_millis(1_500);
+    let (deployment, _directory) = start(two_zones(1)).await;
+    let (listener, held) = full_listener().await;
+    // The gateway prefers the backends of its own zone, "a".
+    let (spare, _) = harness::add_spare(&deployment).await;
+    deployment.register("slow", "plain", listener.local_addr().unwrap(), "ready");
+    let mut sent = 0;
+    let connecting = loop {
+        let request = spawn_request(&deployment, "GET", IDEMPOTENT, format!("r-{sent}"));
+        tokio::time::sleep(CONNECTING_AFTER).await;
+        if !request.is_finished() {
+            break request;
+        }
+        sent += 1;
+    };
+    deployment.evacuate("a");
+    wait_for_line(&deployment, 0, 0, &["failure domain evacuated"]).await;
+    assert!(!connecting.is_finished(), "the request is not connecting any more");
+    let before = spare.arrivals();
+    for _ in &held {
+        listener.accept().await.unwrap();
+    }
+    let response = connecting.await.unwrap();
+    assert_eq!(response.code(), 200, "{}", response.text());
+    assert_eq!(spare.arrivals(), before, "sent to another backend there");
+    if let Ok(accepted) = tokio::time::timeout(REPEATED_AFTER, listener.accept()).await {
+        let mut received = Vec::new();
+        accepted.unwrap().0.read_to_end(&mut received).await.unwrap();
+        assert!(received.is_empty(), "{}", String::from_utf8_lossy(&received));
+    }
+    let failed = ["attempt failed", "backend=slow"];
+    assert_eq!(count_lines(&deployment, 0, &failed), 1, "the request was connecting");
+}
+
+/// Guards against a request that is sent to an evacuated domain because it waited in the gateway's queue
+/// when the evacuation arrived.
+#[tokio::test]
+async fn waiting_request() {
+    const SLOTS: usize = 4;
+    const WAITING: usize = 6;
+    /// More than the time between the reports of an agent whose backend's load changes.
+    const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+    let shape = Shape { ranks: 2, slots: Some(SLOTS), ..two_zones(1) };
+    let (deployment, _directory) = harness::start_serving(shape).await;
+    let mut config = deployment::config(2, &[KEY]);
+    // Callers wait long enough for the first event and between events.
+    deployment::set_on_routes(&mut config, "target_latency_ms", 3_000);
+    deployment::set_on_routes(&mut config, "gap_target_ms", 500);
+    deployment.put_config(&config.to_string());
+    wait_for_line(&deployment, 0, 0, &["configuration applied", "version=2"]).await;
+    harness::wait_until_streaming(&deployment).await;
+    let backends = &deployment.model_backends;
+    backends.iter().for_each(|backend| backend.queue_faults([Fault::Hold; SLOTS]));
+    let arrived = |backend: &Backend, prefix: &str| {
+        let arrived = backend.arrived();
+        arrived.iter().filter(|arrival| arrival.attempt_id.starts_with(prefix)).count()
+    };
+    let mut busy = Vec::new();
+    while backends.iter().any(|backend| arrived(backend, "busy-") < SLOTS) {
+        assert!(busy.len() < 8 * SLOTS, "the backends are not busy");
+        busy.push(spawn_request(&deployment, "POST", RESUMABLE, format!("busy-{}", busy.len())));
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+    let waiting: Vec<_> = (0..WAITING)
+        .map(|index| spawn_request(&deployment, "POST", RESUMABLE, format!("waiting-{index}")))
+        .collect();
+    tokio::time::sleep(REPORT_INTERVAL).await;
+    let sent = || backends.iter().map(|backend| arrived(backend, "waiting-")).sum::<usize>();
+    assert!(sent() < WAITING, "no request waits");
+    assert!(waiting.iter().any(|request| !request.is_finished()), "no request waits");
+    deployment.evacuate("c");
+    wait_for_line(&deployment, 0, 0, &["failure domain evacuated"]).await;
+    let (before, sent_before) = (arrived(&backends[1], "waiting-"), sent());
+    backends.iter().for_each(Backend::release_streams);
+    for request in waiting {
+        let code = request.await.unwrap().code();
+        assert!([200, 503].contains(&code), "{code}");
+    }
+    assert_eq!(arrived(&backends[1], "waiting-"), before, "sent to the evacuated domain");
+    assert!(sent() > sent_before, "no waiting request was sent elsewhere");
+}
