Simulate a cold backend in the soak test

Cause: the soak test simulated evacuations but no cold backends.

Change: a stand-in can be cold after its restarts. It then says so in its record and in its responses, and keeps the times of its requests without those that got 421. In each run the plain backend outside the evacuated zone restarts and is cold for 1.5 s, while all requests of the service are for it; more than 12 requests in a second (5 a second x 1.5 + 5) are a violation. The sequence of the random faults is unchanged.

--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -3,16 +3,17 @@
 //! The guarantees, as observed by callers and backends: a response belongs to its request, a
 //! non-idempotent request runs at most once, a request that is refused as not run did not run, a
 //! successful stream is complete, all ranks use the same expert map in a forward pass, no process
-//! fails, no request reaches a zone that was evacuated some seconds ago, and all requests are served
-//! again after the faults.
+//! fails, no request reaches a zone that was evacuated some seconds ago, a cold backend gets no more
+//! requests in any second than it tolerates, and all requests are served again after the faults.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use currantlink_core::rate_lanes::{BoundedRate, RateMargin};
 use currantlink_standins::backends::Fault;
 use currantlink_standins::deployment::{
-    ClientRequest, ClientResponse, Deployment, GatewayProcess, IDEMPOTENT, ONCE, Process,
-    RESUMABLE, Shape, send_request,
+    self, ClientRequest, ClientResponse, Deployment, GatewayProcess, IDEMPOTENT, KEY, ONCE,
+    Process, RESUMABLE, Shape, send_request,
 };
 use currantlink_standins::records::Health;
 use nix::sys::signal::{Signal, kill};
@@ -42,6 +43,17 @@
 const EVACUATED_PART: std::ops::Range<f64> = 0.1..0.9;
 /// Time by which an evacuation takes effect, as stated to the operator.
 const EVACUATE_LIMIT: Duration = Duration::from_millis(5_000);
+/// Index of the plain backend that restarts and is cold. The other one is in the evacuated zone, so that all
+/// requests of the service are for the cold one.
+const COLD_INDEX: usize = 0;
+/// Part of the run after which it restarts.
+const COLD_PART: f64 = 0.3;
+/// Time for which it is cold.
+const COLD_TIME: Duration = Duration::from_millis(1_500);
+/// Rate that a cold backend tolerates: fewer than the requests that are sent. The margin is the one in the
+/// settings of the processes.
+const COLD_RATE: BoundedRate =
+    BoundedRate { per_s: 5.0, margin: RateMargin { overage: 1.5, slack: 5.0 } };
 const KINDS: [(&str, &str); 3] = [("POST", RESUMABLE), ("POST", ONCE), ("GET", IDEMPOTENT)];
 /// Time between requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
@@ -104,6 +116,7 @@
 async fn soak(options: &Soak, directory: &Path, seed: u64) -> Result<Vec<String>, BenchError> {
     let mut deployment = Deployment::start(&options.program, directory, SHAPE).await?;
     deployment.wait_until_ready().await;
+    configure_cold(&deployment).await;
     let mut rng = StdRng::seed_from_u64(seed);
     let run_time = Duration::from_secs(options.seconds);
     let began_at = Instant::now();
@@ -111,6 +124,7 @@
     let evacuation = began_at + run_time.mul_f64(EVACUATED_PART.start)
         ..began_at + run_time.mul_f64(EVACUATED_PART.end);
     let (mut is_evacuated, mut lifted_at) = (false, None);
+    let mut restart_cold_at = Some(began_at + run_time.mul_f64(COLD_PART));
     let mut sent = Vec::new();
     let mut stopped: Vec<(Instant, u32)> = Vec::new();
     let mut next_fault = Instant::now();
@@ -130,6 +144,9 @@
             }
             _ => {}
         }
+        if restart_cold_at.take_if(|at| *at <= Instant::now()).is_some() {
+            deployment.plain_backends[COLD_INDEX].crash();
+        }
         if is_evacuated {
             // The bound holds for processes that reach the store.
             deployment.records.set_health(Health::Up);
@@ -157,6 +174,11 @@
     if late > 0 {
         violations.push(format!("evacuated zone gets nothing: {late} requests reached it"));
     }
+    let most = most_in_a_second(&deployment.plain_backends[COLD_INDEX].cold_arrival_times());
+    let allowed = COLD_RATE.bound() as usize;
+    if most > allowed {
+        violations.push(format!("cold backend: {most} requests in a second, {allowed} allowed"));
+    }
     if failed > 0 {
         violations.push(format!("no process fails: {failed} ended by themselves"));
     }
@@ -305,6 +327,33 @@
     arrivals.filter(is_late).count()
 }
 
+/// Makes the plain service one whose backends are cold after they start, and waits until all gateways know.
+/// Otherwise a store that fails from the start would keep the bound from them.
+async fn configure_cold(deployment: &Deployment) {
+    const VERSION: u64 = 2;
+    let mut config = deployment::config(VERSION, &[KEY]);
+    config["services"][0]["cold_start_s"] = COLD_TIME.as_secs_f64().into();
+    config["services"][0]["cold_per_s"] = COLD_RATE.per_s.into();
+    deployment.put_config(&config.to_string());
+    deployment.plain_backends[COLD_INDEX].set_cold_time(COLD_TIME);
+    let applied = format!("\"configuration applied\" version={VERSION}");
+    for gateway in &deployment.gateways {
+        let log = gateway.process.log_path();
+        // A log that cannot be read has no such line, so the wait fails.
+        let is_applied = || std::fs::read_to_string(&log).is_ok_and(|log| log.contains(&applied));
+        deployment::wait_until(|| std::future::ready(is_applied())).await;
+    }
+}
+
+/// Returns the largest number of requests in any one second, of times in ascending order.
+fn most_in_a_second(times: &[Instant]) -> usize {
+    let second = Duration::from_secs(1);
+    let since = |first: usize| {
+        times[first..].iter().take_while(|at| at.duration_since(times[first]) <= second).count()
+    };
+    (0..times.len()).map(since).max().unwrap_or_default()
+}
+
 fn events(count: u64) -> String {
     (1..=count).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
 }
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -138,6 +138,9 @@
     is_leaving: bool,
     keeps_id: bool,
     down_time: Option<Duration>,
+    cold_time: Duration,
+    cold_until: Option<Instant>,
+    cold_arrivals: Vec<Instant>,
     exit_time: Duration,
     arrived: Vec<Arrival>,
     queued_since: Vec<Instant>,
@@ -219,7 +222,11 @@
                         }
                     };
                 }
-                backend.state().is_leaving = false;
+                {
+                    let mut state = backend.state();
+                    state.is_leaving = false;
+                    state.cold_until = Some(Instant::now() + state.cold_time);
+                }
                 backend.restarts.send_modify(|restarts| *restarts += 1);
             }
         });
@@ -264,6 +271,22 @@
         self.state().exit_time = exit_time;
     }
 
+    /// Sets the time for which the backend is cold after each restart.
+    pub fn set_cold_time(&self, cold_time: Duration) {
+        self.state().cold_time = cold_time;
+    }
+
+    /// Returns the time for which the backend is still cold.
+    pub fn cold_remaining(&self) -> Duration {
+        let until = self.state().cold_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns when each request was received while the backend was cold, without those with status 421.
+    pub fn cold_arrival_times(&self) -> Vec<Instant> {
+        self.state().cold_arrivals.clone()
+    }
+
     /// Makes the backend return under the same id after crashes.
     pub fn keep_id(&self) {
         self.state().keeps_id = true;
@@ -407,6 +430,13 @@
                 .await?;
             return Ok(true);
         }
+        let cold_ms = self.cold_remaining().as_millis();
+        if cold_ms > 0 {
+            self.state().cold_arrivals.push(Instant::now());
+        }
+        let cold_value = cold_ms.to_string();
+        let cold_header = (cold_ms > 0).then_some((names::COLD_MS, cold_value.as_str()));
+        let stated = stated.chain(cold_header);
         let pause = self.state().requested_pause.clone();
         if let Some(pause) = pause {
             let headers = [
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -345,7 +345,8 @@
         tokio::spawn(async move {
             while restarts.changed().await.is_ok() {
                 let born_ms = u64::from(*restarts.borrow()) + 1;
-                let record = backend_record(service, address, "ready", born_ms, 0, zone);
+                let cold_ms = backend.cold_remaining().as_millis() as u64;
+                let record = backend_record(service, address, "ready", born_ms, cold_ms, zone);
                 records.put(names::BACKENDS_TOPIC, &backend.id(), &record);
             }
         });
