Let silent and sound backends share one awaitable set, and create the shared state in one place

Cause: SoundBackends repeated the set of SilentBackends with its membership test and its wait, and run() named each field of SharedState twice. Ruled out for now: one player of callers, gateways and engines for core/tests/overload.rs, urgent_load.rs and uneven_groups.rs, which needs the whole suite to confirm.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -364,7 +364,7 @@
             // nothing while the event can still come.
             if call.progress.has_head() {
                 self.log_late_stream(call, key);
-                self.sound.until_unsound(key).await;
+                self.sound.until_not_in(key).await;
             }
         };
         tokio::select! {
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -97,21 +97,16 @@
 /// Fails if an address is in use or a thread cannot be started.
 pub fn run(settings: GatewaySettings, path: PathBuf) -> Result<(), DaemonError> {
     let metrics = telemetry::install_metrics()?;
-    let snapshot: SharedSnapshot = Arc::default();
-    let load_reports = Arc::<LoadReports>::default();
-    let stated_limits =
-        Arc::new(StatedLimits::new(settings.common.name(), settings.common.cold_margin()));
-    let crashes = Arc::new(CrashLedger::new(settings.common.name()));
-    let (trials, rates, admission) = (Arc::default(), Arc::default(), Arc::default());
+    let stated_limits = StatedLimits::new(settings.common.name(), settings.common.cold_margin());
     let (leaving, left) = mpsc::unbounded_channel();
     let shared = SharedState {
-        snapshot,
-        load_reports,
-        stated_limits,
-        crashes,
-        trials,
-        rates,
-        admission,
+        snapshot: Arc::default(),
+        load_reports: Arc::default(),
+        stated_limits: Arc::new(stated_limits),
+        crashes: Arc::new(CrashLedger::new(settings.common.name())),
+        trials: Arc::default(),
+        rates: Arc::default(),
+        admission: Arc::default(),
         leaving,
     };
     let (control_settings, control_shared) = (settings.clone(), shared.clone());
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -33,6 +33,7 @@
 
 use crate::admission::SharedAdmission;
 use crate::attempts::{Dispatched, caller_response};
+use crate::backend_set::BackendSet;
 use crate::caller_limits::{self, CallerBudget, CallerConnection};
 use crate::clock::now_ms;
 use crate::crash_ledger::{CrashLedger, RequestKeys};
@@ -47,7 +48,6 @@
 use crate::response_body::ResponseBody;
 use crate::routing_snapshot::{LoadReports, SharedSnapshot};
 use crate::silent::SilentBackends;
-use crate::sound_backends::SoundBackends;
 use crate::stated_limits::StatedLimits;
 use crate::stream_relay::{self, RelayedStream};
 use crate::trials::{SharedTrials, Trial};
@@ -73,7 +73,8 @@
     pub(crate) callers: CallerBudget,
     pub(crate) observations: RefCell<Observations>,
     pub(crate) silent: SilentBackends,
-    pub(crate) sound: SoundBackends,
+    /// Listed backends that can be expected to send events. See [`currantlink_core::stalls`].
+    pub(crate) sound: BackendSet,
     pub(crate) turns: Turns,
     in_flight: InFlightRequests,
     /// Time of the stop signal and what is accepted since.
@@ -228,7 +229,7 @@
             callers: CallerBudget::default(),
             observations: RefCell::default(),
             silent: SilentBackends::default(),
-            sound: SoundBackends::default(),
+            sound: BackendSet::default(),
             turns: Turns::default(),
             in_flight: InFlightRequests::default(),
             stopping: Cell::new(None),
@@ -377,7 +378,9 @@
             }
         }
         let sound = states.values().flat_map(|states| stalls::sound_backends(states));
-        self.sound.replace(sound.collect());
+        let sound: IndexSet<FleetKey> = sound.collect();
+        metrics::gauge!("currantlink_sound_backends").set(sound.len() as f64);
+        self.sound.replace(sound);
         let silent = heard.values().flat_map(|heard| silence::silent_backends(heard, now));
         self.silent.replace(silent.collect(), &snapshot.fleet);
     }
--- a/daemon/src/silent.rs
+++ b/daemon/src/silent.rs
@@ -4,12 +4,13 @@
 
 use currantlink_core::fleet::{Fleet, FleetKey};
 use indexmap::IndexSet;
-use tokio::sync::watch;
+
+use crate::backend_set::BackendSet;
 
 /// Backends that have stopped or cannot be reached. See [`currantlink_core::silence`].
 #[derive(Default)]
 pub struct SilentBackends {
-    confirmed: watch::Sender<IndexSet<FleetKey>>,
+    confirmed: BackendSet,
     seen: RefCell<IndexSet<FleetKey>>,
 }
 
@@ -20,7 +21,7 @@
         let before = self.seen.replace(seen.clone());
         let silent = seen.intersection(&before).copied().collect::<IndexSet<_>>();
         let id = |key| fleet.get(key).map_or("", |member| member.id.as_str());
-        let before = self.confirmed.borrow().clone();
+        let before = self.confirmed.get();
         for &key in silent.difference(&before) {
             log::warn!(backend = id(key); "backend is silent");
         }
@@ -28,19 +29,16 @@
             log::info!(backend = id(key); "backend is no longer silent");
         }
         metrics::gauge!("currantlink_silent_backends").set(silent.len() as f64);
-        if silent != before {
-            self.confirmed.send_replace(silent);
-        }
+        self.confirmed.replace(silent);
     }
 
     /// Returns whether a backend is silent.
     pub fn contains(&self, key: FleetKey) -> bool {
-        self.confirmed.borrow().contains(&key)
+        self.confirmed.contains(key)
     }
 
     /// Waits until a backend is silent.
     pub async fn until_silent(&self, key: FleetKey) {
-        // The sender is not dropped while it is borrowed, so the wait cannot fail.
-        let _ = self.confirmed.subscribe().wait_for(|silent| silent.contains(&key)).await;
+        self.confirmed.until_in(key).await;
     }
 }
