Show that callers who read slowly lose their answers

The case of the large heads becomes the last one.

Plain runners of the stand-ins now answer with the largest answers of the site files.

--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::FromRawFd as _;
 use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -14,12 +15,50 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    zero: [u8; 8],
+}
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, option: i32, value: *const i32, length: u32) -> i32;
+    fn connect(fd: i32, address: *const SocketAddress, length: u32) -> i32;
+}
+const AF_INET: i32 = 2;
+const SOCK_STREAM_CLOEXEC: i32 = 0o2000001;
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+
+/// Connects with a receive buffer of the smallest size, so that the window is small.
+pub fn connect_small_window(address: SocketAddr) -> io::Result<TcpStream> {
+    let SocketAddr::V4(address) = address else { return Err(io::ErrorKind::Unsupported.into()) };
+    let target = SocketAddress {
+        family: AF_INET as u16,
+        port: address.port().to_be_bytes(),
+        ip: address.ip().octets(),
+        zero: [0; 8],
+    };
+    unsafe {
+        let fd = socket(AF_INET, SOCK_STREAM_CLOEXEC, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        if setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &1, 4) != 0 || connect(fd, &target, 16) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
 }
 const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -1082,6 +1121,9 @@
 
 // ---------------------------------------------------------------- plain runners
 
+/// Length of the answers of plain runners: the largest of the site files, `resp_bytes` = 4,800, with the id.
+pub const PLAIN_BYTES: usize = 4_780;
+
 /// Serves a plain runner that works 30 ms on a request.
 pub fn serve_plain(id: &str, listener: TcpListener, record: Arc<Record>) {
     let id = id.to_owned();
@@ -1103,7 +1145,7 @@
                         &mut stream,
                         "200 OK",
                         &head,
-                        format!("{attempt} {}", "x".repeat(700)).as_bytes(),
+                        format!("{attempt} {}", "x".repeat(PLAIN_BYTES)).as_bytes(),
                     )
                 }
             };
@@ -1317,7 +1359,7 @@
     Some((Answer { status, headers, body: Vec::new(), is_complete: true }, end))
 }
 
-fn parse_answer(bytes: &[u8]) -> Option<Answer> {
+pub fn parse_answer(bytes: &[u8]) -> Option<Answer> {
     let (mut answer, end) = parse_head(bytes)?;
     let header =
         |name: &str| answer.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
--- a/review/stand-ins/sim.rs
+++ b/review/stand-ins/sim.rs
@@ -4,7 +4,7 @@
 
 mod platform;
 
-use std::io::Write as _;
+use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use platform::{
-    Clients, Deployment, Group, HOST, KEY, Machine, Record, SIGCONT, SIGSTOP, ask, attempt_id,
-    lock, plain_head, stream_head,
+    Clients, Deployment, Group, HOST, KEY, Machine, Record, SIGCONT, SIGSTOP, SIGTERM, ask,
+    attempt_id, connect_small_window, lock, parse_answer, plain_head, stream_head,
 };
 
 const BROKEN: i32 = 1;
@@ -55,6 +55,7 @@
         "two-leaders" => two_leaders(&program, &folder, run, &trouble),
         "weights" => weights(&program, &folder, run, &trouble),
         "heads" => heads(&program, &folder, run, &trouble),
+        "slow-readers" => slow_readers(&program, &folder, run, &trouble),
         _ => NOT_RUN,
     };
     record.say(match code {
@@ -415,3 +416,74 @@
     deployment.finish();
     if ends.iter().filter(|&&count| count >= 3).count() >= 2 { BROKEN } else { HELD }
 }
+
+/// Number of callers that read slowly.
+const READERS: usize = 8;
+
+/// Callers read their answers slowly: each waits for 4 s before it reads on. Their gateway is stopped as planned
+/// meanwhile. Does each of them get its whole answer?
+fn slow_readers(program: &Path, folder: &Path, record: Arc<Record>, trouble: &str) -> i32 {
+    let (is_slow, has_stop) = (trouble != "0", trouble != "slow");
+    let mut deployment = Deployment::start(program, folder, Arc::clone(&record), 3, 2, FRONT);
+    if !deployment.wait_ready(Duration::from_secs(10)) {
+        record.say("gateways are not ready");
+        return NOT_RUN;
+    }
+    sleep_s(3.0);
+    let gateway = deployment.callers[0];
+    let readers: Vec<_> = (0..READERS)
+        .map(|_| {
+            let record = Arc::clone(&record);
+            thread::spawn(move || slow_reader(gateway, is_slow, &record))
+        })
+        .collect();
+    sleep_s(0.5);
+    if has_stop {
+        deployment.gateways[0].signal(SIGTERM);
+        record.say("SIGTERM of front-00, whose grace_s is 8");
+    }
+    let complete = readers.into_iter().filter_map(|reader| reader.join().ok().flatten());
+    let complete: Vec<bool> = complete.collect();
+    let lost = complete.iter().filter(|&&is_complete| !is_complete).count();
+    record.say(format!("{lost} of {} answers were not complete", complete.len()));
+    if let Some(line) = deployment.gateways[0].log_lines("gateway stopped").pop() {
+        record.say(format!("log of front-00: {line}"));
+    }
+    deployment.finish();
+    match complete.len() {
+        READERS if lost > 0 => BROKEN,
+        READERS => HELD,
+        _ => NOT_RUN,
+    }
+}
+
+/// Sends two requests on one connection, the second one 0.2 s before it stops reading for a while. Returns
+/// whether the answer to the second one is complete, or `None` if the first one failed.
+fn slow_reader(gateway: SocketAddr, is_slow: bool, record: &Record) -> Option<bool> {
+    let mut stream = connect_small_window(gateway).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    let (mut buffer, mut bytes) = (vec![0; 4_096], Vec::new());
+    let mut id = attempt_id();
+    for turn in 0..2 {
+        id = attempt_id();
+        bytes.clear();
+        let head = plain_head(&id, 4).replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 8000");
+        stream.write_all(&[head.as_bytes(), b"body"].concat()).ok()?;
+        record.add(format!("client: {id} sent on a kept connection"));
+        if turn == 1 && is_slow {
+            sleep_s(4.0);
+        }
+        while parse_answer(&bytes).is_none() {
+            match stream.read(&mut buffer) {
+                Ok(len) if len > 0 => bytes.extend_from_slice(&buffer[..len]),
+                end => {
+                    record.say(format!("client: {id} got {} bytes, then {end:?}", bytes.len()));
+                    return (turn == 1).then_some(false);
+                }
+            }
+        }
+    }
+    let answer = parse_answer(&bytes)?;
+    record.say(format!("client: {id} got {} and {} bytes", answer.status, answer.body.len()));
+    Some(answer.status == 200 && answer.body.starts_with(id.as_bytes()))
+}
