--- a/review/stand-ins/sim.rs
+++ b/review/stand-ins/sim.rs
@@ -467,7 +467,9 @@
     for turn in 0..2 {
         id = attempt_id();
         bytes.clear();
-        let head = plain_head(&id, 4).replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 8000");
+        let head = plain_head(&id, 4)
+            .replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 8000")
+            .replace("/book/", "/sign/");
         stream.write_all(&[head.as_bytes(), b"body"].concat()).ok()?;
         record.add(format!("client: {id} sent on a kept connection"));
         if turn == 1 && is_slow {
