--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -639,16 +639,21 @@
         self.record.say("group: formed, epoch 1, map 0");
     }
 
-    /// Other experts are in demand: `hot` of each set, `weight` times as often as the others.
+    /// Other experts are in demand: of the three experts of each set that are chosen `weight` times as often as
+    /// the others, two change.
     pub fn shift(&self, hot_rank: usize, weight: f64) {
         let mut state = lock(&self.state);
         let size = state.ranks.len();
         for (set, weights) in state.weights.iter_mut().enumerate() {
+            let kept = weights.iter().position(|&w| w > 1.0);
             weights.fill(1.0);
             let rank = (hot_rank + set) % size;
-            for turn in 0..3 {
+            for turn in 0..if kept.is_some() { 2 } else { 3 } {
                 weights[rank + turn * size] = weight;
             }
+            if let Some(expert) = kept {
+                weights[expert] = weight;
+            }
         }
         drop(state);
         self.record.add(format!("demand: experts of rank {hot_rank} and the next are in demand"));
--- a/review/stand-ins/sim.rs
+++ b/review/stand-ins/sim.rs
@@ -72,12 +72,12 @@
     thread::sleep(Duration::from_secs_f64(seconds));
 }
 
-/// Moves the demand: `expert_shift` with `gap_s` = 2.0, the shortest of the site files, again and again.
-fn keep_shifting(group: Arc<Group>, from_rank: usize) {
+/// Moves the demand as `expert_shift` with `count` = 11, `gap_s` = 3.5 and a share of 0.67 does.
+fn keep_shifting(group: Arc<Group>) {
     thread::spawn(move || {
-        for turn in 0.. {
-            group.shift((from_rank + 5 * turn) % 12, 20.0);
-            sleep_s(2.0);
+        for turn in 0..11 {
+            group.shift(5 * turn % 12, 20.0);
+            sleep_s(3.5);
         }
     });
 }
@@ -105,7 +105,7 @@
         }
     }
     let copy_at = Instant::now() - Duration::from_millis(150);
-    keep_shifting(Arc::clone(&deployment.group), 0);
+    keep_shifting(Arc::clone(&deployment.group));
     if !deployment.wait_map_change(Duration::from_secs(10)) {
         record.say("no change of the map");
         return NOT_RUN;
@@ -213,7 +213,7 @@
     }
     let woken = record.now();
     sleep_s(1.0);
-    keep_shifting(Arc::clone(&deployment.group), 0);
+    keep_shifting(Arc::clone(&deployment.group));
     sleep_s(RECOVER_S - 1.0);
     let from = record.now();
     while record.now() < woken + 75.0 {
