Order fencing tokens by the era of the store

Cause: the fencing token was the offset of the leader's claim plus one. A restored store gives offsets out again, so a suspended leader and its successor led with the same token and the same versions. Neither stepped down, since a leader yields only to a higher token.

Ruled out: the heartbeat's acceptance of an equal token. It keeps the two leaders apart, but they would still give out the same versions.

Change: the store's era, which it sends in all responses, is decoded in platform/, and a claim is at a position of an era and an offset. Tokens are ordered by the era first, so no two claims share one. The stand-in of the store gains the era, restores, and 410 for offsets it does not have.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod patience;
 pub mod pauses;
 pub mod plan;
+pub mod position;
 pub mod prefix;
 pub mod queue;
 pub mod rate_lanes;
--- a/core/tests/election.rs
+++ b/core/tests/election.rs
@@ -1,7 +1,10 @@
 //! Simulated elections: how many agents claim the leadership of their group, and how long the group
 //! waits for a leader.
 
-use currantlink_core::election::{Claimant, claim_timeout_ms};
+#![allow(clippy::unwrap_used)]
+
+use currantlink_core::election::{Claimant, claim_timeout_ms, fencing_token};
+use currantlink_core::position::{Position, StoreEra};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -52,3 +55,59 @@
     assert!(!again.is_claim_due(1_951));
     assert!(again.is_claim_due(1_952));
 }
+
+/// The store's record of the claims, and the tokens of all claims so far.
+#[derive(Clone, Default)]
+struct Claims {
+    end: Position,
+    tokens: Vec<u64>,
+}
+
+impl Claims {
+    fn claim(&mut self) {
+        self.tokens.push(fencing_token(self.end).unwrap());
+        self.end.offset += 1;
+    }
+
+    /// Restores the store from a copy that has the first `offset` claims.
+    fn restore(&mut self, offset: u64) {
+        self.end = Position { era: StoreEra(self.end.era.0 + 1), offset };
+    }
+}
+
+/// Guards against two leaders with one fencing token after a restore of the store: in each series of
+/// claims and restores, every claim gets a higher token than all before.
+#[test]
+fn tokens_over_restores() {
+    const EVENTS: usize = 9;
+    let mut series = vec![Claims::default()];
+    for _ in 0..EVENTS {
+        let mut longer = Vec::new();
+        for claims in &series {
+            let mut claimed = claims.clone();
+            claimed.claim();
+            let restored = (0..=claims.end.offset).map(|offset| {
+                let mut restored = claims.clone();
+                restored.restore(offset);
+                restored
+            });
+            longer.extend(restored.chain([claimed]));
+        }
+        series = longer;
+    }
+    assert_eq!(series.len(), 16_796);
+    for Claims { tokens, .. } in series {
+        assert!(tokens.is_sorted_by(|earlier, later| earlier < later), "{tokens:?}");
+    }
+}
+
+#[test]
+fn token_range() {
+    let position = |era, offset| Position { era: StoreEra(era), offset };
+    let highest = fencing_token(position((1 << 20) - 1, (1 << 24) - 2)).unwrap();
+    // The versions of a leader's maps have 20 bits more.
+    assert!(highest.checked_mul(1 << 20).is_some());
+    assert!(fencing_token(position(1 << 20, 0)).is_err());
+    assert!(fencing_token(position(0, (1 << 24) - 1)).is_err());
+    assert!(fencing_token(position(0, u64::MAX)).is_err());
+}
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -56,7 +56,7 @@
     RemoteState(SocketAddr, RankState),
     /// Experts of a rank, read from the rank's backend.
     RemoteExperts { rank: u32, held: RankExperts },
-    /// A leadership claim was appended to the store; its offset determines the fencing token.
+    /// A leadership claim was appended to the store; its position determines the fencing token.
     Claimed { fence: u64, group: String },
 }
 
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use currantlink_core::election::Claimant;
+use currantlink_core::election::{Claimant, fencing_token};
 use currantlink_core::fanout;
 use currantlink_core::routes::{ExpertProfile, PoolKey};
 use currantlink_core::switch::{Action, Order};
@@ -216,10 +216,12 @@
             let record = Bytes::from(group.clone().into_bytes());
             let claim = store.append(names::LEADERS_TOPIC, None, &[record], CLAIM_TIMEOUT).await;
             match claim {
-                Ok(offset) => {
+                Ok(Some(claim)) => match fencing_token(claim) {
                     // The receiver is dropped only when the process exits.
-                    let _ = events.send(Event::Claimed { fence: offset + 1, group });
-                }
+                    Ok(fence) => drop(events.send(Event::Claimed { fence, group })),
+                    Err(error) => log::error!(error:% = error; "failed to claim leadership"),
+                },
+                Ok(None) => log::warn!("claim of leadership dropped: unknown era of the store"),
                 Err(error) => log::info!(error:% = error; "failed to claim leadership"),
             }
         });
--- a/standins/src/records.rs
+++ b/standins/src/records.rs
@@ -3,13 +3,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
-use currantlink_platform::store;
-use http::{Response, StatusCode};
+use currantlink_platform::{names, store};
+use http::{HeaderValue, Response, StatusCode};
 use indexmap::IndexMap;
 use serde_json::json;
 use tokio::sync::Notify;
@@ -43,6 +43,8 @@
 #[derive(Default)]
 struct State {
     topics: IndexMap<String, Topic>,
+    /// Number of restores.
+    era: u64,
     health: Health,
     delay: Duration,
     requests: u64,
@@ -50,14 +52,32 @@
 
 #[derive(Default)]
 struct Topic {
+    /// First offset that can be read.
     first_offset: u64,
-    records: Vec<Bytes>,
+    records: Vec<Stored>,
     newest: IndexMap<String, (u64, Bytes)>,
 }
 
+#[derive(Clone)]
+struct Stored {
+    at: Instant,
+    content: Bytes,
+}
+
 impl Topic {
     fn end_offset(&self) -> u64 {
-        self.first_offset + self.records.len() as u64
+        self.records.len() as u64
+    }
+
+    fn push(&mut self, is_keyed: bool, content: Bytes) {
+        let at = self.end_offset();
+        if is_keyed && let Ok(keyed) = store::decode_keyed_record(content.clone()) {
+            match keyed.value {
+                Some(value) => drop(self.newest.insert(keyed.key, (at, value))),
+                None => drop(self.newest.shift_remove(&keyed.key)),
+            }
+        }
+        self.records.push(Stored { at: Instant::now(), content });
     }
 }
 
@@ -100,25 +120,41 @@
     pub fn truncate(&self) {
         for topic in self.state().topics.values_mut() {
             topic.first_offset = topic.end_offset();
-            topic.records.clear();
         }
     }
 
+    /// Restores the store from a copy of `age`, and begins a new era. What the operator and the backends
+    /// wrote since is written again, in order; other records are lost.
+    pub fn restore(&self, age: Duration) {
+        let Some(copied_at) = Instant::now().checked_sub(age) else {
+            return;
+        };
+        let mut state = self.state();
+        state.era += 1;
+        for (name, topic) in &mut state.topics {
+            let kept = topic.records.partition_point(|record| record.at <= copied_at);
+            let lost = topic.records.split_off(kept);
+            let is_rewritten =
+                [names::OPERATOR_TOPIC, names::BACKENDS_TOPIC].contains(&name.as_str());
+            let rewritten = if is_rewritten { lost } else { Vec::new() };
+            let records = std::mem::take(&mut topic.records).into_iter().chain(rewritten);
+            let first_offset = topic.first_offset.min(kept as u64);
+            *topic = Topic { first_offset, ..Topic::default() };
+            for Stored { at, content } in records {
+                topic.push(is_keyed(name), content);
+                topic.records.last_mut().into_iter().for_each(|record| record.at = at);
+            }
+        }
+        drop(state);
+        self.0.changed.notify_waiters();
+    }
+
     fn append(&self, topic: &str, records: Vec<Bytes>) -> (u64, u64) {
-        let is_keyed = topic.starts_with("keyed.");
+        let is_keyed = is_keyed(topic);
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
         let offset = topic.end_offset();
-        for record in records {
-            let at = topic.end_offset();
-            if is_keyed && let Ok(keyed) = store::decode_keyed_record(record.clone()) {
-                match keyed.value {
-                    Some(value) => drop(topic.newest.insert(keyed.key, (at, value))),
-                    None => drop(topic.newest.shift_remove(&keyed.key)),
-                }
-            }
-            topic.records.push(record);
-        }
+        records.into_iter().for_each(|record| topic.push(is_keyed, record));
         let end_offset = topic.end_offset();
         drop(state);
         self.0.changed.notify_waiters();
@@ -145,12 +181,14 @@
 
     async fn execute(&self, request: &IncomingRequest) -> Response<Body> {
         let topic = request.query("topic").unwrap_or_default().to_owned();
-        match request.path() {
+        let mut response = match request.path() {
             "/api/log-append" => self.handle_append(request, &topic),
             "/api/log-newest" => self.handle_newest(request, &topic),
             "/api/log-read" => self.handle_read(request, &topic).await,
             _ => server::status(StatusCode::NOT_FOUND),
-        }
+        };
+        response.headers_mut().insert(names::STORE_ERA, HeaderValue::from(self.state().era));
+        response
     }
 
     fn handle_append(&self, request: &IncomingRequest, topic: &str) -> Response<Body> {
@@ -208,21 +246,20 @@
         let state = self.state();
         let empty = Topic::default();
         let topic = state.topics.get(topic).unwrap_or(&empty);
-        if from < topic.first_offset {
+        if !(topic.first_offset..=topic.end_offset()).contains(&from) {
             let body = json!({ "first": topic.first_offset });
             return Some(server::json_status(StatusCode::GONE, &body));
         }
-        let skipped = (from - topic.first_offset) as usize;
-        let records = topic.records.get(skipped..).unwrap_or_default();
+        let records = &topic.records[from as usize..];
         if records.is_empty() && may_wait {
             return None;
         }
         let mut body = Vec::new();
         body.extend_from_slice(&topic.end_offset().to_be_bytes());
         body.extend_from_slice(&topic.first_offset.to_be_bytes());
-        for record in records {
-            body.extend_from_slice(&(record.len() as u32).to_be_bytes());
-            body.extend_from_slice(record);
+        for Stored { content, .. } in records {
+            body.extend_from_slice(&(content.len() as u32).to_be_bytes());
+            body.extend_from_slice(content);
         }
         Some(server::bytes(Bytes::from(body)))
     }
@@ -232,6 +269,10 @@
     }
 }
 
+fn is_keyed(topic: &str) -> bool {
+    topic.starts_with("keyed.")
+}
+
 fn split_records(body: &Bytes) -> Option<Vec<Bytes>> {
     const LEN_BYTES: usize = 4;
     let mut rest = body.clone();
