Do not take a gateway's own failed call for an outage of the store

Cause: after an outage of the store, entries that expired reappear, so gateways keep removed backends for 2 s. A gateway believed in an outage after any failed call of its own, however short.

Change: StoreContact keeps the last contact and the last outage, and decides for both kinds of news.

--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -14,7 +14,7 @@
 
 /// Time after an outage of the store for which gateways tell each other of its end. Entries that
 /// expired during the outage reappear in this time.
-pub const RECONNECTED_ANNOUNCE_MS: u64 = 2_000;
+const RECONNECTED_ANNOUNCE_MS: u64 = 2_000;
 
 /// Shortest outage in which entries may expire. Longer than the longest time between two reads.
 pub const MIN_OUTAGE_MS: u64 = 2_000;
@@ -39,16 +39,60 @@
     known_at_ms.is_none_or(|known_at_ms| at_ms > known_at_ms + RECONNECTED_ANNOUNCE_MS)
 }
 
-/// Returns whether the store may have been away until `at_ms`, as another gateway announces, for a
+/// Returns whether the store may have been away until `at_ms` and entries may have expired meanwhile, for a
 /// process that last read it, or was passed on a read, at `contact_at_ms`.
 ///
-/// A gateway that was cut off cannot tell its own outage from one of the store. Entries expire after
-/// three missing heartbeats, more than [`MIN_OUTAGE_MS`], so an outage in which some did is one in which
-/// no gateway could read for so long.
+/// A gateway that was cut off, or whose call failed, cannot tell its own outage from one of the store.
+/// Entries expire after three missing heartbeats, more than [`MIN_OUTAGE_MS`], so an outage in which some
+/// did is one in which no gateway could read for so long.
 pub fn may_have_been_away(contact_at_ms: Option<u64>, at_ms: u64) -> bool {
     contact_at_ms.is_none_or(|contact_at_ms| contact_at_ms + MIN_OUTAGE_MS <= at_ms)
 }
 
+/// When a process last learned what the store lists, and when an outage of the store last ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreContact {
+    contact_at_ms: Option<u64>,
+    reconnected_at_ms: Option<u64>,
+}
+
+impl StoreContact {
+    /// Records a read by this process, before which its calls failed if `is_reconnected`. Returns whether it
+    /// ends an outage in which entries may have expired.
+    ///
+    /// A call may fail although the store is not away: it rejects a call, or a connection breaks.
+    pub fn record_read(&mut self, now_ms: u64, is_reconnected: bool) -> bool {
+        let has_been_away = is_reconnected && may_have_been_away(self.contact_at_ms, now_ms);
+        if has_been_away {
+            self.reconnected_at_ms = Some(now_ms);
+        }
+        self.contact_at_ms = self.contact_at_ms.max(Some(now_ms));
+        has_been_away
+    }
+
+    /// Records a read by another process, and the end of an outage that it announces, if any. Returns the
+    /// time of that end if this process did not know it and believes it.
+    pub fn record_passed_on(
+        &mut self,
+        read_at_ms: u64,
+        reconnected_at_ms: Option<u64>,
+    ) -> Option<u64> {
+        let reconnected_at_ms = reconnected_at_ms.filter(|&at_ms| {
+            is_other_reconnection(self.reconnected_at_ms, at_ms)
+                && may_have_been_away(self.contact_at_ms, at_ms)
+        });
+        self.reconnected_at_ms = reconnected_at_ms.or(self.reconnected_at_ms);
+        self.contact_at_ms = self.contact_at_ms.max(Some(read_at_ms));
+        reconnected_at_ms
+    }
+
+    /// Returns the time since the end of an outage, while other processes are told of it.
+    pub fn announced_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let age_ms = now_ms.saturating_sub(self.reconnected_at_ms?);
+        (age_ms < RECONNECTED_ANNOUNCE_MS).then_some(age_ms)
+    }
+}
+
 /// Returns the time for which a gateway waits in a read for a new configuration, of `gateways` live
 /// gateways that tell each other which version they know.
 pub fn poll_ms(gateways: usize) -> u64 {
--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -1,9 +1,10 @@
 //! Simulated gateways that follow a topic of the store and pass on what they read: the number of reads,
 //! and how long a gateway lacks a record, with lost messages.
 
+use currantlink_core::fleet::{Announcement, Fleet, Observation};
 use currantlink_core::shared_reads::{
-    MIN_OUTAGE_MS, Reachability, ReadRange, Use, is_other_reconnection, may_have_been_away,
-    next_read_ms, poll_ms,
+    MIN_OUTAGE_MS, Reachability, ReadRange, StoreContact, Use, is_other_reconnection,
+    may_have_been_away, next_read_ms, poll_ms,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -135,3 +136,66 @@
     assert!(may_have_been_away(Some(10_000 - MIN_OUTAGE_MS), 10_000));
     assert!(may_have_been_away(None, 10_000), "it has not read anything yet");
 }
+
+/// Time for which a backend serves after its entry was removed.
+const DRAIN_MS: u64 = 2_000;
+const RETRY_MS: u64 = 200;
+
+/// Returns how long a gateway uses a backend after its entry was removed at `removed_ms`. The gateway reads
+/// at 0 and `interval_ms` later, when `failures` calls fail before one succeeds.
+fn use_after_removal(interval_ms: u64, failures: u64, removed_ms: u64) -> u64 {
+    let (mut reachability, mut contact) = (Reachability::default(), StoreContact::default());
+    let mut fleet = Fleet::default();
+    let announcement = Announcement {
+        started_at_ms: 1,
+        service: "llm".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "a".into(),
+        draining: false,
+        slots: 4,
+        cold_remaining_ms: None,
+    };
+    contact.record_read(0, reachability.record_contact());
+    fleet.observe("a", Observation::Present(announcement), 0);
+    for _ in 0..failures {
+        reachability.record_failure();
+    }
+    let mut now_ms = interval_ms + failures * RETRY_MS;
+    if contact.record_read(now_ms, reachability.record_contact()) {
+        fleet.store_recovered(now_ms);
+    }
+    fleet.observe("a", Observation::Dropped, now_ms);
+    while fleet.available("llm").count() > 0 {
+        now_ms += 1;
+        fleet.remove_expired(now_ms);
+    }
+    now_ms - removed_ms
+}
+
+/// Guards against a gateway that takes a failed call for an outage of the store, in which entries expire,
+/// and keeps a backend that was removed.
+#[test]
+fn failed_calls() {
+    for interval_ms in (next_read_ms(0, 0)..=next_read_ms(0, 500)).step_by(50) {
+        for failures in 0..=2 {
+            for removed_ms in (1..interval_ms + failures * RETRY_MS).step_by(25) {
+                let used_ms = use_after_removal(interval_ms, failures, removed_ms);
+                assert!(used_ms < DRAIN_MS, "{used_ms} ms, {failures} failures at {interval_ms}");
+            }
+        }
+    }
+    // An outage of that length may have removed entries of backends that live on.
+    assert!(use_after_removal(1_000, 10, 2_900) > DRAIN_MS);
+}
+
+/// Guards against the end of an outage that is announced again and again by gateways that learned of it
+/// from each other.
+#[test]
+fn announced_once() {
+    let mut contact = StoreContact::default();
+    assert!(!contact.record_read(1_000, false));
+    assert_eq!(contact.record_passed_on(5_000, Some(4_900)), Some(4_900));
+    assert_eq!(contact.record_passed_on(5_100, Some(4_950)), None);
+    assert_eq!(contact.announced_age_ms(5_900), Some(1_000));
+    assert_eq!(contact.announced_age_ms(6_900), None);
+}
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use currantlink_core::fleet::Observation;
-use currantlink_core::shared_reads::{self, RECONNECTED_ANNOUNCE_MS, ReadRange, Use};
+use currantlink_core::shared_reads::{self, ReadRange, StoreContact, Use};
 use currantlink_platform::store::KeyedRecord;
 use currantlink_platform::{directory, names};
 use currantlink_wire::peers::{BackendRecords, StoreRecord};
@@ -25,8 +25,7 @@
         reader,
         entries: IndexMap::new(),
         is_listed: false,
-        reconnected_at_ms: None,
-        contact_at_ms: None,
+        contact: StoreContact::default(),
         updates,
     };
     let mut read_at = Instant::now();
@@ -51,9 +50,7 @@
     /// Whether the topic has been listed since the last read. A listing may contain records beyond its
     /// position, so what the next read only confirms may be new to other gateways.
     is_listed: bool,
-    reconnected_at_ms: Option<u64>,
-    /// Time of the last read that was made here or passed on.
-    contact_at_ms: Option<u64>,
+    contact: StoreContact,
     updates: Updates,
 }
 
@@ -67,10 +64,10 @@
             *read_at = Instant::now() + RETRY_DELAY;
             return Some(());
         };
-        if is_reconnected {
-            self.reconnect(now_ms())?;
+        let at_ms = now_ms();
+        if self.contact.record_read(at_ms, is_reconnected) {
+            self.updates.send(Update::StoreReconnected { at_ms }).ok()?;
         }
-        self.contact_at_ms = Some(now_ms());
         match read {
             TopicRead::All(records) => {
                 let listing: Vec<(String, Observation)> =
@@ -99,17 +96,12 @@
         if (ReadRange { from_offset, next_offset }).use_at(position) != Use::New {
             return Some(());
         }
-        if let Some(age_ms) = message.reconnected_age_ms {
-            let at_ms = now_ms().saturating_sub(age_ms);
-            if shared_reads::is_other_reconnection(self.reconnected_at_ms, at_ms)
-                && shared_reads::may_have_been_away(self.contact_at_ms, at_ms)
-            {
-                self.reconnect(at_ms)?;
-            }
+        let (now, read_age_ms) = (now_ms(), message.read_age_ms);
+        let reconnected_at_ms = message.reconnected_age_ms.map(|age_ms| now.saturating_sub(age_ms));
+        let read_at_ms = now.saturating_sub(read_age_ms);
+        if let Some(at_ms) = self.contact.record_passed_on(read_at_ms, reconnected_at_ms) {
+            self.updates.send(Update::StoreReconnected { at_ms }).ok()?;
         }
-        let read_age_ms = message.read_age_ms;
-        let read_at_ms = now_ms().saturating_sub(read_age_ms);
-        self.contact_at_ms = self.contact_at_ms.max(Some(read_at_ms));
         let new = message.records.into_iter().filter(|r| Some(r.offset) >= position);
         let new = new.map(|StoreRecord { offset, key, value }| {
             let value = (!value.is_empty()).then_some(value);
@@ -121,11 +113,6 @@
         Some(())
     }
 
-    fn reconnect(&mut self, at_ms: u64) -> Option<()> {
-        self.reconnected_at_ms = Some(at_ms);
-        self.updates.send(Update::StoreReconnected { at_ms }).ok()
-    }
-
     /// Applies records, and returns those that change an entry.
     fn apply(
         &mut self,
@@ -154,13 +141,12 @@
 
     fn pass_on(&self, range: ReadRange, records: Vec<StoreRecord>, began_ms: u64) -> Option<()> {
         let now = now_ms();
-        let age_ms = self.reconnected_at_ms.map(|at_ms| now.saturating_sub(at_ms));
         let ReadRange { from_offset, next_offset } = range;
         let message = BackendRecords {
             from_offset,
             next_offset,
             records,
-            reconnected_age_ms: age_ms.filter(|&age_ms| age_ms < RECONNECTED_ANNOUNCE_MS),
+            reconnected_age_ms: self.contact.announced_age_ms(now),
             read_age_ms: now.saturating_sub(began_ms),
         };
         self.updates.send(Update::PassOn(message)).ok()
--- a/daemon/tests/store_calls.rs
+++ b/daemon/tests/store_calls.rs
@@ -131,3 +131,34 @@
     let told = gateways_with_line(&deployment, &["a peer knows a newer configuration"]);
     assert!(told >= GATEWAYS / 2, "{told} gateways were told by a peer");
 }
+
+/// Guards against a gateway that takes its failed call for an outage of the store, in which entries expire,
+/// and keeps a backend that was removed meanwhile.
+#[tokio::test]
+async fn failed_call() {
+    const DRAIN: Duration = Duration::from_millis(2_000);
+    let shape = Shape { plain_backends: 2, ..Shape::default() };
+    let (mut deployment, _directory) = harness::start_serving(shape).await;
+    let relay = relay_store(&mut deployment, 0).await;
+    let (spare, _) = harness::add_spare(&deployment).await;
+    let reaches_spare = || async {
+        status_code(&deployment, 0, KEY).await;
+        !spare.runs().is_empty()
+    };
+    wait_until(reaches_spare).await;
+    let has_failed = || gateways_with_line(&deployment, &["\"lost\"", "topic=keyed.servers"]) > 0;
+    assert!(!has_failed());
+    relay.close();
+    wait_until(|| async { has_failed() }).await;
+    deployment.unregister("spare");
+    let removed_at = tokio::time::Instant::now();
+    // Together with the time between two reads, less than the shortest outage in which entries expire.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    relay.reopen();
+    tokio::time::sleep_until(removed_at + DRAIN).await;
+    let runs = spare.runs().len();
+    for _ in 0..40 {
+        assert_eq!(status_code(&deployment, 0, KEY).await, 200);
+    }
+    assert_eq!(spare.runs().len(), runs);
+}
