Keep the era of the store with each position in a topic

What callers would see: after the store came back from an older copy, a gateway may skip records. In the test, an evacuated failure domain keeps getting requests for good.

Cause: readers, gateways that pass on records, and the order of evacuations compared offsets that the restored store had given out twice. A reader gave up its offset only on 410, which does not come if the log has grown past the offset again.

Change: positions carry the era. A read of another era is discarded and the topic is listed at once; passed-on records are used only within their era; evacuations are ordered by position, and one that a restored store lacks stays in force for 2 s. A restore starts the grace period of backends.

The stand-in returns what the operator and the backends write again after a restore.

--- a/core/src/evacuation.rs
+++ b/core/src/evacuation.rs
@@ -2,9 +2,9 @@
 //! requests until further notice.
 //!
 //! The load that it answers is an instruction that must reach all gateways within seconds, also those
-//! that cannot reach the store. The state of a domain is known as of an offset in the operator's topic;
-//! of two states, the one with the higher offset is in force. A gateway that has read the topic up to
-//! an offset does not believe what others announce as of an earlier one, and contradicts it.
+//! that cannot reach the store. The state of a domain is known as of a position in the operator's topic;
+//! of two states, the one with the higher position is in force. A gateway that has read the topic up to
+//! a position does not believe what others announce as of an earlier one, and contradicts it.
 
 use std::borrow::Borrow;
 use std::cmp::Reverse;
@@ -12,12 +12,16 @@
 use derive_more::{Display, Error};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::position::Position;
+
 /// Time for which the end of an evacuation is announced. Hello messages are sent every 500 ms to
 /// gateways and every second to agents, and several in a row may be lost.
 const LIFTED_ANNOUNCE_MS: u64 = 10_000;
 /// Time after which an evacuation that no gateway announces any more is forgotten by a process that
 /// does not read the operator's topic.
 const UNCONFIRMED_MS: u64 = 10_000;
+/// Time after a restore of the store within which the operator writes again what it lost.
+const REWRITE_MS: u64 = 2_000;
 /// Number of domains in one announcement. Their names may have 246 bytes, and a datagram 65,507.
 const MAX_ANNOUNCED: usize = 64;
 /// Number of domains without an evacuation that are remembered.
@@ -70,8 +74,8 @@
 /// A record of the operator's topic about a domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationRecord {
-    /// Offset of the record.
-    pub offset: u64,
+    /// Position of the record.
+    pub position: Position,
     /// Failure domain.
     pub domain: FailureDomain,
     /// Instruction.
@@ -81,21 +85,21 @@
 /// A read of the operator's topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reading {
-    /// Offset up to which all records are known.
-    pub next_offset: u64,
+    /// Position up to which all records are known.
+    pub next: Position,
     /// Whether the records are the newest of each key, rather than those since the previous read.
     pub is_listing: bool,
-    /// Records about domains, in the order of their offsets.
+    /// Records about domains, in the order of their positions.
     pub records: Vec<EvacuationRecord>,
 }
 
-/// State of a domain as of an offset, as gateways announce it to each other.
+/// State of a domain as of a position, as gateways announce it to each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
     /// Failure domain.
     pub domain: FailureDomain,
-    /// Offset as of which the state is known.
-    pub offset: u64,
+    /// Position as of which the state is known.
+    pub position: Position,
     /// Whether the domain is evacuated.
     pub is_active: bool,
 }
@@ -113,7 +117,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct DomainState {
-    offset: u64,
+    position: Position,
     is_active: bool,
     /// Time at which the evacuation began or was lifted, as far as this process knows.
     changed_at_ms: u64,
@@ -121,6 +125,8 @@
     heard_at_ms: u64,
     /// Time until which other processes are told that the evacuation was lifted.
     announced_until_ms: u64,
+    /// Time since which the evacuation is missing in a restored store.
+    missing_since_ms: Option<u64>,
 }
 
 /// Evacuations that this process knows.
@@ -130,58 +136,77 @@
     /// Domains whose newest record is unreadable. What others announce of these is believed, because
     /// the record that counts is not in the topic's listing any more.
     unreadable: IndexSet<FailureDomain>,
-    /// Offset up to which this process has read the topic, 0 if it has not.
-    next_offset: u64,
+    /// Position up to which this process has read the topic, the lowest one if it has not.
+    next: Position,
 }
 
 impl Evacuations {
     /// Applies what was read from the operator's topic. Returns the domains whose evacuation began or
     /// was lifted, in order.
     ///
-    /// A domain that is missing in a listing is not evacuated as of the listing.
+    /// A domain that is missing in a listing is not evacuated as of the listing. After a restore, the store
+    /// may have lost the evacuation: it is lifted by [`Self::lift_missing`] unless it is written again.
     pub fn apply_reading(&mut self, reading: Reading, now_ms: u64) -> Vec<Announcement> {
-        let Reading { next_offset, is_listing, records } = reading;
-        let as_of = next_offset.saturating_sub(1);
+        let Reading { next, is_listing, records } = reading;
+        let as_of = next.before();
         let mut changes = Vec::new();
         if is_listing {
             let listed: IndexSet<&FailureDomain> = records.iter().map(|r| &r.domain).collect();
             let active = self.domains.iter().filter(|(_, state)| state.is_active);
             let missing = active.map(|(domain, _)| domain).filter(|d| !listed.contains(*d));
+            let is_restored = self.next != Position::default() && self.next.era != next.era;
             for domain in missing.cloned().collect::<Vec<_>>() {
-                changes.extend(self.apply(domain, as_of, false, now_ms));
+                match self.domains.get_mut(&domain) {
+                    Some(state) if is_restored => {
+                        state.missing_since_ms.get_or_insert(now_ms);
+                    }
+                    _ => changes.extend(self.apply(domain, as_of, false, now_ms)),
+                }
             }
             self.unreadable.clear();
         }
-        for EvacuationRecord { offset, domain, instruction } in records {
+        for EvacuationRecord { position, domain, instruction } in records {
             self.unreadable.shift_remove(&domain);
-            // The listing shows the state as of its own offset, whichever record it is from.
-            let offset = if is_listing { offset.max(as_of) } else { offset };
+            // The listing shows the state as of its own position, whichever record it is from.
+            let position = if is_listing { position.max(as_of) } else { position };
             match instruction {
-                Instruction::Evacuate => changes.extend(self.apply(domain, offset, true, now_ms)),
-                Instruction::Lift => changes.extend(self.apply(domain, offset, false, now_ms)),
+                Instruction::Evacuate => changes.extend(self.apply(domain, position, true, now_ms)),
+                Instruction::Lift => changes.extend(self.apply(domain, position, false, now_ms)),
                 Instruction::Unreadable => drop(self.unreadable.insert(domain)),
             }
         }
-        self.next_offset = self.next_offset.max(next_offset);
+        self.next = self.next.max(next);
         self.limit_lifted();
         changes
     }
 
+    /// Lifts the evacuations that were missing in a restored store and were not written again. Returns
+    /// their domains.
+    pub fn lift_missing(&mut self, now_ms: u64) -> Vec<Announcement> {
+        let is_due = |state: &DomainState| {
+            state.is_active && state.missing_since_ms.is_some_and(|at| at + REWRITE_MS <= now_ms)
+        };
+        let due = self.domains.iter().filter(|(_, state)| is_due(state));
+        let due: Vec<FailureDomain> = due.map(|(domain, _)| domain.clone()).collect();
+        let as_of = self.next.before();
+        due.into_iter().filter_map(|domain| self.apply(domain, as_of, false, now_ms)).collect()
+    }
+
     /// Applies what another process announces.
     pub fn learn(&mut self, announced: Announcement, now_ms: u64) -> Learned {
-        let Announcement { domain, offset, is_active } = announced;
-        let is_read = offset < self.next_offset && !self.unreadable.contains(&domain);
+        let Announcement { domain, position, is_active } = announced;
+        let is_read = position < self.next && !self.unreadable.contains(&domain);
         match is_read {
             true if is_active && !self.is_active(domain.as_str()) => {
                 self.contradict(domain, now_ms);
                 Learned::Nothing
             }
             _ if !is_active && !self.domains.contains_key(&domain) => {
-                self.remember_lifted(domain, offset, now_ms);
+                self.remember_lifted(domain, position, now_ms);
                 Learned::PastEvacuation
             }
             true => Learned::Nothing,
-            false => match self.apply(domain, offset, is_active, now_ms) {
+            false => match self.apply(domain, position, is_active, now_ms) {
                 Some(_) => Learned::Change,
                 None => Learned::Nothing,
             },
@@ -197,11 +222,11 @@
         let mut announced: Vec<Announcement> = states
             .map(|(domain, state)| Announcement {
                 domain: domain.clone(),
-                offset: state.offset,
+                position: state.position,
                 is_active: state.is_active,
             })
             .collect();
-        announced.sort_by_key(|a| (!a.is_active, Reverse(a.offset)));
+        announced.sort_by_key(|a| (!a.is_active, Reverse(a.position)));
         announced.truncate(MAX_ANNOUNCED);
         announced
     }
@@ -233,45 +258,50 @@
         old.map(|(domain, _)| domain).collect()
     }
 
-    /// Applies the state of a domain if it is known as of a higher offset than before.
+    /// Applies the state of a domain if it is known as of a higher position than before.
     fn apply(
         &mut self,
         domain: FailureDomain,
-        offset: u64,
+        position: Position,
         is_active: bool,
         now_ms: u64,
     ) -> Option<Announcement> {
         let new = DomainState {
-            offset,
+            position,
             is_active,
             changed_at_ms: now_ms,
             heard_at_ms: now_ms,
             announced_until_ms: now_ms + LIFTED_ANNOUNCE_MS,
+            missing_since_ms: None,
         };
         match self.domains.get_mut(&domain) {
             None if !is_active => None,
             Some(known) if known.is_active == is_active => {
-                known.offset = known.offset.max(offset);
+                if position > known.position {
+                    known.position = position;
+                    known.missing_since_ms = None;
+                }
                 known.heard_at_ms = now_ms;
                 None
             }
-            Some(known) if known.offset >= offset => None,
+            Some(known) if known.position >= position => None,
             Some(_) | None => {
                 self.domains.insert(domain.clone(), new);
-                Some(Announcement { domain, offset, is_active })
+                Some(Announcement { domain, position, is_active })
             }
         }
     }
 
     /// Remembers that a domain is not evacuated of which no evacuation was known. Only those that knew
     /// it announce its end: it would be announced without end if each process that starts did.
-    fn remember_lifted(&mut self, domain: FailureDomain, offset: u64, now_ms: u64) {
+    fn remember_lifted(&mut self, domain: FailureDomain, position: Position, now_ms: u64) {
         let state = DomainState {
-            offset,
+            position,
             is_active: false,
             changed_at_ms: now_ms,
             heard_at_ms: now_ms,
             announced_until_ms: 0,
+            missing_since_ms: None,
         };
         self.domains.insert(domain, state);
         self.limit_lifted();
@@ -279,12 +309,12 @@
 
     /// Announces again that a domain is not evacuated, because another process has missed it.
     fn contradict(&mut self, domain: FailureDomain, now_ms: u64) {
-        let offset = self.next_offset.saturating_sub(1);
+        let position = self.next.before();
         if !self.domains.contains_key(&domain) {
-            self.remember_lifted(domain.clone(), offset, now_ms);
+            self.remember_lifted(domain.clone(), position, now_ms);
         }
         if let Some(state) = self.domains.get_mut(&domain) {
-            state.offset = state.offset.max(offset);
+            state.position = state.position.max(position);
             state.announced_until_ms = now_ms + LIFTED_ANNOUNCE_MS;
         }
     }
--- a/core/src/position.rs
+++ b/core/src/position.rs
@@ -18,3 +18,10 @@
     /// Offset.
     pub offset: u64,
 }
+
+impl Position {
+    /// Returns the position of the record before this one in the era, or the first one of the era.
+    pub fn before(self) -> Self {
+        Self { offset: self.offset.saturating_sub(1), ..self }
+    }
+}
--- a/core/src/shared_reads.rs
+++ b/core/src/shared_reads.rs
@@ -4,7 +4,10 @@
 //! It answers deployments with many gateways: each of them needs every change, but one read tells all.
 //! A gateway passes on what it has read, and the others postpone their own reads. The time of a read
 //! is random, so that usually one gateway is first. The offsets show what a gateway lacks: after a lost
-//! message, its next read starts where it left off.
+//! message, its next read starts where it left off. Offsets of different eras of the store are not
+//! compared: they belong to different records.
+
+use crate::position::{Position, StoreEra};
 
 /// Minimum time from the newest known read of a topic to the next one.
 const MIN_READ_INTERVAL_MS: u64 = 750;
@@ -57,12 +60,13 @@
 }
 
 impl StoreContact {
-    /// Records a read by this process, before which its calls failed if `is_reconnected`. Returns whether it
-    /// ends an outage in which entries may have expired.
+    /// Records a read by this process, before which its calls failed if `is_reconnected`, and the store lost
+    /// records if `is_restored`. Returns whether it ends an outage after which entries may be missing.
     ///
     /// A call may fail although the store is not away: it rejects a call, or a connection breaks.
-    pub fn record_read(&mut self, now_ms: u64, is_reconnected: bool) -> bool {
-        let has_been_away = is_reconnected && may_have_been_away(self.contact_at_ms, now_ms);
+    pub fn record_read(&mut self, now_ms: u64, is_reconnected: bool, is_restored: bool) -> bool {
+        let has_been_away =
+            is_restored || is_reconnected && may_have_been_away(self.contact_at_ms, now_ms);
         if has_been_away {
             self.reconnected_at_ms = Some(now_ms);
         }
@@ -102,6 +106,8 @@
 /// What another process has read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadRange {
+    /// Era of the store in which it gave out the offsets.
+    pub era: StoreEra,
     /// Offset of the first record.
     pub from_offset: u64,
     /// Offset after the last record.
@@ -121,13 +127,20 @@
 
 impl ReadRange {
     /// Returns the use of the range for a process that has read all records before `position`.
-    pub fn use_at(self, position: Option<u64>) -> Use {
+    pub fn use_at(self, position: Option<Position>) -> Use {
         match position {
-            Some(position) if position > self.next_offset => Use::Outdated,
-            Some(position) if position >= self.from_offset => Use::New,
+            Some(position) if position > self.next() => Use::Outdated,
+            Some(Position { era, offset }) if era == self.era && offset >= self.from_offset => {
+                Use::New
+            }
             _ => Use::Gap,
         }
     }
+
+    /// Returns the position after the last record.
+    pub fn next(self) -> Position {
+        Position { era: self.era, offset: self.next_offset }
+    }
 }
 
 /// Whether the store responds to this process.
--- a/core/tests/evacuation.rs
+++ b/core/tests/evacuation.rs
@@ -6,6 +6,7 @@
 use currantlink_core::evacuation::{
     Announcement, EvacuationRecord, Evacuations, FailureDomain, Instruction, Learned, Reading,
 };
+use currantlink_core::position::{Position, StoreEra};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -13,20 +14,24 @@
     FailureDomain::try_from(name).unwrap()
 }
 
+fn at(offset: u64) -> Position {
+    Position { era: StoreEra(1), offset }
+}
+
 fn record(offset: u64, name: &str, instruction: Instruction) -> EvacuationRecord {
-    EvacuationRecord { offset, domain: domain(name), instruction }
+    EvacuationRecord { position: at(offset), domain: domain(name), instruction }
 }
 
 fn changes(next_offset: u64, records: Vec<EvacuationRecord>) -> Reading {
-    Reading { next_offset, is_listing: false, records }
+    Reading { next: at(next_offset), is_listing: false, records }
 }
 
 fn listing(next_offset: u64, records: Vec<EvacuationRecord>) -> Reading {
-    Reading { next_offset, is_listing: true, records }
+    Reading { next: at(next_offset), is_listing: true, records }
 }
 
 fn announcement(offset: u64, name: &str, is_active: bool) -> Announcement {
-    Announcement { domain: domain(name), offset, is_active }
+    Announcement { domain: domain(name), position: at(offset), is_active }
 }
 
 /// Returns the state of a process that has read an evacuation of "a" at offset 5.
@@ -165,6 +170,38 @@
     assert!(!agent.is_active("a"));
 }
 
+/// Guards against evacuations that end, or never begin, because a restored store gives their offsets out
+/// again: a position of a later era is higher.
+#[test]
+fn restored_store() {
+    let of_era = |era, offset| Position { era: StoreEra(era), offset };
+    let restored = |records| Reading { next: of_era(2, 3), is_listing: true, records };
+    let mut state = evacuated();
+    assert_eq!(state.apply_reading(restored(Vec::new()), 2_000), []);
+    assert!(state.is_active("a"), "the operator may write it again");
+    assert_eq!(state.lift_missing(3_900), []);
+    let lifted = state.lift_missing(4_000).remove(0);
+    assert_eq!((lifted.position, lifted.is_active), (of_era(2, 2), false));
+    assert_eq!(state.learn(announcement(90, "a", true), 4_100), Learned::Nothing);
+    assert_eq!(evacuated().learn(lifted, 0), Learned::Change);
+
+    let again = EvacuationRecord {
+        position: of_era(2, 3),
+        domain: domain("a"),
+        instruction: Instruction::Evacuate,
+    };
+    let again = Reading { next: of_era(2, 4), is_listing: false, records: vec![again] };
+    let mut state = evacuated();
+    state.apply_reading(restored(Vec::new()), 2_000);
+    assert_eq!(state.apply_reading(again.clone(), 2_500), []);
+    assert_eq!(state.lift_missing(9_000), []);
+    assert!(state.is_active("a"));
+    let mut other = Evacuations::default();
+    other.apply_reading(listing(90, Vec::new()), 0);
+    assert_eq!(other.apply_reading(restored(Vec::new()), 1_000), []);
+    assert_eq!(other.apply_reading(again, 2_000).len(), 1);
+}
+
 /// Guards against memory and messages that grow with the number of domains that were ever evacuated.
 #[test]
 fn many_domains() {
@@ -260,7 +297,7 @@
 /// Returns the records that the store lists: the newest of each key, unless it has no value.
 fn newest(log: &[EvacuationRecord]) -> Vec<EvacuationRecord> {
     let last = |record: &&EvacuationRecord| {
-        !log.iter().any(|other| other.domain == record.domain && other.offset > record.offset)
+        !log.iter().any(|other| other.domain == record.domain && other.position > record.position)
     };
     let listed = log.iter().filter(last).filter(|r| r.instruction != Instruction::Lift);
     listed.cloned().collect()
--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -2,6 +2,7 @@
 //! and how long a gateway lacks a record, with lost messages.
 
 use currantlink_core::fleet::{Announcement, Fleet, Observation};
+use currantlink_core::position::{Position, StoreEra};
 use currantlink_core::shared_reads::{
     MIN_OUTAGE_MS, Reachability, ReadRange, StoreContact, Use, is_other_reconnection,
     may_have_been_away, next_read_ms, poll_ms,
@@ -13,6 +14,16 @@
 const READ_MS: u64 = 5;
 const PASS_ON_MS: u64 = 3;
 
+const ERA: StoreEra = StoreEra(3);
+
+fn at(offset: u64) -> Position {
+    Position { era: ERA, offset }
+}
+
+fn read_range(from_offset: u64, next_offset: u64) -> ReadRange {
+    ReadRange { era: ERA, from_offset, next_offset }
+}
+
 struct Reader {
     position: u64,
     read_at_ms: u64,
@@ -35,7 +46,7 @@
                 continue;
             }
             reads += 1;
-            let range = ReadRange { from_offset: readers[index].position, next_offset: end };
+            let range = read_range(readers[index].position, end);
             readers[index] = Reader {
                 position: end,
                 read_at_ms: now_ms + READ_MS + next_read_ms(READ_MS, random.random()),
@@ -50,7 +61,7 @@
         let (due, later): (Vec<_>, Vec<_>) = messages.into_iter().partition(|m| m.0 <= now_ms);
         messages = later;
         for (_, to, range) in due {
-            if range.use_at(Some(readers[to].position)) == Use::New {
+            if range.use_at(Some(at(readers[to].position))) == Use::New {
                 let read_at_ms = now_ms + next_read_ms(READ_MS, random.random());
                 readers[to] = Reader { position: range.next_offset, read_at_ms };
                 known_ms[to] = now_ms;
@@ -81,13 +92,33 @@
 
 #[test]
 fn read_positions() {
-    let range = ReadRange { from_offset: 10, next_offset: 20 };
+    let range = read_range(10, 20);
     assert_eq!(range.use_at(None), Use::Gap);
-    assert_eq!(range.use_at(Some(9)), Use::Gap);
-    assert_eq!(range.use_at(Some(10)), Use::New);
-    assert_eq!(range.use_at(Some(15)), Use::New);
-    assert_eq!(range.use_at(Some(20)), Use::New);
-    assert_eq!(range.use_at(Some(21)), Use::Outdated);
+    assert_eq!(range.use_at(Some(at(9))), Use::Gap);
+    assert_eq!(range.use_at(Some(at(10))), Use::New);
+    assert_eq!(range.use_at(Some(at(15))), Use::New);
+    assert_eq!(range.use_at(Some(at(20))), Use::New);
+    assert_eq!(range.use_at(Some(at(21))), Use::Outdated);
+}
+
+/// Guards against records that are skipped because the store has given their offsets out before.
+#[test]
+fn other_eras() {
+    let range = read_range(10, 20);
+    for offset in [5, 10, 15, 20, 25] {
+        let position = |era| Some(Position { era: StoreEra(era), offset });
+        assert_eq!(range.use_at(position(2)), Use::Gap, "{offset}");
+        assert_eq!(range.use_at(position(4)), Use::Outdated, "{offset}");
+    }
+}
+
+/// Guards against backends that count as removed while they register again after a restore.
+#[test]
+fn restored_store() {
+    let mut contact = StoreContact::default();
+    assert!(!contact.record_read(1_000, false, false));
+    assert!(contact.record_read(2_000, false, true));
+    assert_eq!(contact.announced_age_ms(2_500), Some(500));
 }
 
 #[test]
@@ -155,13 +186,13 @@
         slots: 4,
         cold_remaining_ms: None,
     };
-    contact.record_read(0, reachability.record_contact());
+    contact.record_read(0, reachability.record_contact(), false);
     fleet.observe("a", Observation::Present(announcement), 0);
     for _ in 0..failures {
         reachability.record_failure();
     }
     let mut now_ms = interval_ms + failures * RETRY_MS;
-    if contact.record_read(now_ms, reachability.record_contact()) {
+    if contact.record_read(now_ms, reachability.record_contact(), false) {
         fleet.store_recovered(now_ms);
     }
     fleet.observe("a", Observation::Dropped, now_ms);
@@ -193,7 +224,7 @@
 #[test]
 fn announced_once() {
     let mut contact = StoreContact::default();
-    assert!(!contact.record_read(1_000, false));
+    assert!(!contact.record_read(1_000, false, false));
     assert_eq!(contact.record_passed_on(5_000, Some(4_900)), Some(4_900));
     assert_eq!(contact.record_passed_on(5_100, Some(4_950)), None);
     assert_eq!(contact.announced_age_ms(5_900), Some(1_000));
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use currantlink_core::fleet::Observation;
+use currantlink_core::position::{Position, StoreEra};
 use currantlink_core::shared_reads::{self, ReadRange, StoreContact, Use};
 use currantlink_platform::store::KeyedRecord;
 use currantlink_platform::{directory, names};
@@ -57,7 +58,7 @@
 impl BackendFollower {
     /// Reads once and schedules the next read. Returns `None` if the receiver of updates is dropped.
     async fn read(&mut self, read_at: &mut Instant) -> Option<()> {
-        let (from_offset, began_ms) = (self.reader.position(), now_ms());
+        let (from, began_ms) = (self.reader.position(), now_ms());
         // A connection may have become silent while others read, and a timeout would delay this read.
         self.reader.disconnect();
         let Some((read, is_reconnected)) = self.reader.attempt(Duration::ZERO).await else {
@@ -65,11 +66,12 @@
             return Some(());
         };
         let at_ms = now_ms();
-        if self.contact.record_read(at_ms, is_reconnected) {
+        let is_restored = matches!(read, TopicRead::All { is_restored: true, .. });
+        if self.contact.record_read(at_ms, is_reconnected, is_restored) {
             self.updates.send(Update::StoreReconnected { at_ms }).ok()?;
         }
         match read {
-            TopicRead::All(records) => {
+            TopicRead::All { records, .. } => {
                 let listing: Vec<(String, Observation)> =
                     records.iter().map(|(_, record)| decode(record)).collect();
                 self.entries = listing.iter().cloned().collect();
@@ -77,11 +79,14 @@
                 self.updates.send(Update::Backends(listing)).ok()?;
             }
             TopicRead::Changes(records) => {
-                let range = from_offset.zip(self.reader.position());
+                let range = from.zip(self.reader.position());
                 let changes = self.apply(records)?;
                 let is_first = std::mem::take(&mut self.is_listed);
-                if let Some((from_offset, next_offset)) = range.filter(|_| !is_first) {
-                    self.pass_on(ReadRange { from_offset, next_offset }, changes, began_ms)?;
+                if let Some((Position { era, offset: from_offset }, next)) = range
+                    && !is_first
+                {
+                    let range = ReadRange { era, from_offset, next_offset: next.offset };
+                    self.pass_on(range, changes, began_ms)?;
                 }
             }
         }
@@ -91,9 +96,12 @@
 
     /// Applies the records of another gateway's read, if they follow those that are known.
     fn apply_received(&mut self, message: BackendRecords, read_at: &mut Instant) -> Option<()> {
-        let (from_offset, next_offset) = (message.from_offset, message.next_offset);
-        let position = self.reader.position();
-        if (ReadRange { from_offset, next_offset }).use_at(position) != Use::New {
+        let BackendRecords { era, from_offset, next_offset, .. } = message;
+        let range = ReadRange { era: StoreEra(era), from_offset, next_offset };
+        let Some(position) = self.reader.position() else {
+            return Some(());
+        };
+        if range.use_at(Some(position)) != Use::New {
             return Some(());
         }
         let (now, read_age_ms) = (now_ms(), message.read_age_ms);
@@ -102,13 +110,13 @@
         if let Some(at_ms) = self.contact.record_passed_on(read_at_ms, reconnected_at_ms) {
             self.updates.send(Update::StoreReconnected { at_ms }).ok()?;
         }
-        let new = message.records.into_iter().filter(|r| Some(r.offset) >= position);
+        let new = message.records.into_iter().filter(|r| r.offset >= position.offset);
         let new = new.map(|StoreRecord { offset, key, value }| {
             let value = (!value.is_empty()).then_some(value);
             (offset, KeyedRecord { key, value })
         });
         self.apply(new)?;
-        self.reader.set_position(next_offset);
+        self.reader.set_position(range.next());
         *read_at = next_read(read_age_ms);
         Some(())
     }
@@ -141,8 +149,9 @@
 
     fn pass_on(&self, range: ReadRange, records: Vec<StoreRecord>, began_ms: u64) -> Option<()> {
         let now = now_ms();
-        let ReadRange { from_offset, next_offset } = range;
+        let ReadRange { era, from_offset, next_offset } = range;
         let message = BackendRecords {
+            era: era.0,
             from_offset,
             next_offset,
             records,
--- a/daemon/src/evacuations.rs
+++ b/daemon/src/evacuations.rs
@@ -2,6 +2,7 @@
 //! [`currantlink_core::evacuation`].
 
 use currantlink_core::evacuation::{Announcement, Evacuations, FailureDomain, Learned};
+use currantlink_core::position::{Position, StoreEra};
 use currantlink_wire::peers::Evacuation;
 use derive_more::Display;
 
@@ -21,9 +22,10 @@
 /// Returns the evacuations for hello messages.
 pub fn announced(evacuations: &Evacuations) -> Vec<Evacuation> {
     let announced = evacuations.announced(now_ms()).into_iter();
-    let encode = |Announcement { domain, offset, is_active }: Announcement| Evacuation {
+    let encode = |Announcement { domain, position, is_active }: Announcement| Evacuation {
         failure_domain: domain.as_str().to_owned(),
-        offset,
+        era: position.era.0,
+        offset: position.offset,
         is_active,
     };
     announced.map(encode).collect()
@@ -33,7 +35,7 @@
 pub fn learn(evacuations: &mut Evacuations, received: Vec<Evacuation>) -> bool {
     let now = now_ms();
     let mut is_changed = false;
-    for Evacuation { failure_domain, offset, is_active } in received {
+    for Evacuation { failure_domain, era, offset, is_active } in received {
         let domain = match FailureDomain::try_from(failure_domain.as_str()) {
             Ok(domain) => domain,
             Err(error) => {
@@ -41,7 +43,8 @@
                 continue;
             }
         };
-        let announced = Announcement { domain, offset, is_active };
+        let position = Position { era: StoreEra(era), offset };
+        let announced = Announcement { domain, position, is_active };
         let learned = evacuations.learn(announced.clone(), now);
         is_changed |= learned != Learned::Nothing;
         if learned == Learned::Change {
@@ -53,14 +56,14 @@
 
 /// Logs and counts the begin or the end of an evacuation.
 pub fn report(change: &Announcement, source: Source, evacuations: &Evacuations) {
-    let (failure_domain, offset) = (change.domain.as_str(), change.offset);
+    let (failure_domain, position) = (change.domain.as_str(), change.position);
     let label = match change.is_active {
         true => {
-            log::info!(failure_domain, offset, source:% = source; "failure domain evacuated");
+            log::info!(failure_domain, position:% = position, source:% = source; "failure domain evacuated");
             "begun"
         }
         false => {
-            log::info!(failure_domain, offset, source:% = source;
+            log::info!(failure_domain, position:% = position, source:% = source;
                 "evacuation of a failure domain lifted");
             "lifted"
         }
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use currantlink_core::cold::ReturnDetector;
-use currantlink_core::evacuation::{Evacuations, Reading};
+use currantlink_core::evacuation::{Announcement, Evacuations, Reading};
 use currantlink_core::even_load::backend_number;
 use currantlink_core::fleet::Fleet;
 use currantlink_core::group_choice::GroupKey;
@@ -455,6 +455,11 @@
     /// they may be unable to reach the store.
     async fn apply_evacuations(&mut self, reading: Reading) {
         let changes = self.evacuations.apply_reading(reading, now_ms());
+        self.announce_evacuations(changes).await;
+    }
+
+    /// Publishes, reports and announces changes of evacuations.
+    async fn announce_evacuations(&mut self, changes: Vec<Announcement>) {
         if changes.is_empty() {
             return;
         }
@@ -463,7 +468,7 @@
             evacuations::report(&change, Source::Store, &self.evacuations);
             let mut domains = self.fleet.listed().map(|(_, m)| &m.announcement.failure_domain);
             if change.is_active && !domains.any(|domain| domain == change.domain.as_str()) {
-                log::warn!(failure_domain = change.domain.as_str(), offset = change.offset,
+                log::warn!(failure_domain = change.domain.as_str(), position:% = change.position,
                     backends = self.fleet.listed().count();
                     "no listed backend is in the evacuated failure domain");
             }
@@ -572,6 +577,8 @@
         }
         self.readers.gateway_counts.send_replace(gateways.as_ref().map_or(1, Vec::len));
         self.shared.stated_limits.set_gateways(gateways);
+        let lifted = self.evacuations.lift_missing(now);
+        self.announce_evacuations(lifted).await;
         let demands = self.demands();
         let settled = self.fleet.remove_expired(now);
         if settled || gateway_count != self.snapshot.gateway_count {
--- a/daemon/src/watcher.rs
+++ b/daemon/src/watcher.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use currantlink_core::evacuation::Reading;
 use currantlink_core::fleet::Observation;
+use currantlink_core::position::{Position, StoreEra};
 use currantlink_core::shared_reads::{self, Reachability};
 use currantlink_platform::error::StoreError;
 use currantlink_platform::names;
@@ -75,15 +76,23 @@
 pub(crate) struct TopicReader {
     client: StoreClient,
     topic: &'static str,
-    next_offset: Option<u64>,
+    /// Position of the next record to read, if the topic has been listed.
+    position: Option<Position>,
+    /// Era of the last listing.
+    listed_era: Option<StoreEra>,
     reachability: Reachability,
     /// Timeout for the next call.
     timeout: Duration,
 }
 
 pub(crate) enum TopicRead {
-    /// The newest record of each key, with its offset.
-    All(Vec<(u64, KeyedRecord)>),
+    /// The newest record of each key.
+    All {
+        /// The records, each with its offset.
+        records: Vec<(u64, KeyedRecord)>,
+        /// Whether the store has been restored from an older copy since the last listing.
+        is_restored: bool,
+    },
     /// New records, each with its offset.
     Changes(Vec<(u64, KeyedRecord)>),
 }
@@ -91,7 +100,7 @@
 impl TopicRead {
     fn into_records(self) -> Vec<(u64, KeyedRecord)> {
         match self {
-            TopicRead::All(records) | TopicRead::Changes(records) => records,
+            TopicRead::All { records, .. } | TopicRead::Changes(records) => records,
         }
     }
 }
@@ -101,24 +110,21 @@
         Self {
             client: StoreClient::new(store),
             topic,
-            next_offset: None,
+            position: None,
+            listed_era: None,
             reachability: Reachability::default(),
             timeout: STORE_TIMEOUT,
         }
     }
 
     async fn next(&mut self, wait: Duration) -> Result<TopicRead, StoreError> {
-        let Some(from) = self.next_offset else {
-            let Listing { next_offset, records, pages } =
-                self.client.list_newest(self.topic, self.timeout).await?;
-            log::info!(topic = self.topic, records = records.len(), pages; "topic listed");
-            self.next_offset = Some(next_offset);
-            return Ok(TopicRead::All(records));
+        let Some(from) = self.position else {
+            return self.list().await;
         };
-        match self.client.read(self.topic, from, wait, self.timeout).await {
-            Ok(batch) => {
-                self.next_offset = Some(batch.next_offset);
-                let decoded = (from..).zip(batch.records).filter_map(|(offset, record)| {
+        match self.client.read(self.topic, from.offset, wait, self.timeout).await {
+            Ok(batch) if batch.next.era == from.era => {
+                self.position = Some(batch.next);
+                let decoded = (from.offset..).zip(batch.records).filter_map(|(offset, record)| {
                     let decoded = store::decode_keyed_record(record);
                     let decoded = decoded.inspect_err(
                         |error| log::warn!(error:% = error; "skipping a malformed record"),
@@ -127,18 +133,34 @@
                 });
                 Ok(TopicRead::Changes(decoded.collect()))
             }
+            // The offset belongs to another record than the one that follows those that were read.
+            Ok(batch) => {
+                log::warn!(topic = self.topic, position:% = from, era:% = batch.next.era;
+                    "store was restored; listing the topic again");
+                self.position = None;
+                self.list().await
+            }
             Err(error) => {
                 if let StoreError::Expired { .. } = error {
-                    self.next_offset = None;
+                    self.position = None;
                 }
                 Err(error)
             }
         }
     }
 
-    /// Returns the offset of the next record to read, if the topic has been listed.
-    pub(crate) fn position(&self) -> Option<u64> {
-        self.next_offset
+    async fn list(&mut self) -> Result<TopicRead, StoreError> {
+        let Listing { next, records, pages } =
+            self.client.list_newest(self.topic, self.timeout).await?;
+        let is_restored = self.listed_era.replace(next.era).is_some_and(|era| era != next.era);
+        log::info!(topic = self.topic, records = records.len(), pages, is_restored; "topic listed");
+        self.position = Some(next);
+        Ok(TopicRead::All { records, is_restored })
+    }
+
+    /// Returns the position of the next record to read, if the topic has been listed.
+    pub(crate) fn position(&self) -> Option<Position> {
+        self.position
     }
 
     /// Closes the connection to the store, which may have become silent since the last read.
@@ -146,9 +168,9 @@
         self.client.disconnect();
     }
 
-    /// Continues at an offset up to which the records have been received otherwise.
-    pub(crate) fn set_position(&mut self, next_offset: u64) {
-        self.next_offset = Some(next_offset);
+    /// Continues at a position up to which the records have been received otherwise.
+    pub(crate) fn set_position(&mut self, position: Position) {
+        self.position = Some(position);
         if self.reachability.record_contact() {
             log::info!(dependency = "store", topic = self.topic; "regained");
         }
@@ -265,17 +287,17 @@
 /// Waits for new records of the operator. Returns the configurations and the evacuations.
 async fn read_operator_records(reader: &mut TopicReader, wait: Duration) -> (Vec<Bytes>, Reading) {
     let read = reader.next_with_retry(wait).await;
-    let is_listing = matches!(read, TopicRead::All(_));
+    let is_listing = matches!(read, TopicRead::All { .. });
     let (mut configs, mut records) = (Vec::new(), Vec::new());
+    let next = reader.position().unwrap_or_default();
     for (offset, record) in read.into_records() {
-        match operator::decode(offset, record) {
+        match operator::decode(Position { offset, ..next }, record) {
             OperatorRecord::Config(config) => configs.push(config),
             OperatorRecord::Evacuation(record) => records.push(record),
             OperatorRecord::Other => {}
         }
     }
-    let next_offset = reader.position().unwrap_or_default();
-    (configs, Reading { next_offset, is_listing, records })
+    (configs, Reading { next, is_listing, records })
 }
 
 /// Registers this process and lists its peers at intervals, until the receiver of updates is dropped.
@@ -296,7 +318,7 @@
         }
         tokio::time::sleep(PEERS_READ_INTERVAL).await;
         // After a long partition, peers that were removed are found again.
-        reader.next_offset = None;
+        reader.position = None;
     }
 }
 
@@ -336,7 +358,7 @@
     let record = store::encode_keyed_record(SHARED_KEY, &value);
     // The append is conditional on the topic's end, so only one of several concurrent creators
     // succeeds.
-    let at = reader.next_offset;
+    let at = reader.position.map(|position| position.offset);
     let appended = reader.client.append(names::PEERS_TOPIC, at, &[record], STORE_TIMEOUT).await;
     if let Err(error) = appended {
         log::info!(error:% = error; "failed to create the shared key");
--- a/daemon/tests/store_restore.rs
+++ b/daemon/tests/store_restore.rs
@@ -7,7 +7,10 @@
 
 use std::time::Duration;
 
-use currantlink_standins::deployment::{Deployment, Process, Shape, wait_until};
+use currantlink_platform::names;
+use currantlink_standins::deployment::{Deployment, IDEMPOTENT, KEY, Process, Shape, wait_until};
+use currantlink_standins::records::Health;
+use harness::status_code;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -44,7 +47,8 @@
     let before = elections(&deployment);
     let token = before.iter().flatten().copied().max().unwrap();
     let first = before.iter().position(|tokens| tokens.contains(&token)).unwrap();
-    deployment.records.restore(BEFORE_START);
+    let lost = deployment.records.restore(BEFORE_START);
+    deployment.records.write_again(lost);
     signal(&deployment.agents[first], Signal::SIGSTOP);
     let successors = || {
         let after = elections(&deployment).into_iter().zip(&before);
@@ -60,3 +64,32 @@
     };
     wait_until(has_lost).await;
 }
+
+/// Guards against a gateway that skips records, here an evacuation: after a restore, the log has grown past
+/// the gateway's position before it reads again.
+#[tokio::test]
+async fn skipped_records() {
+    let shape = Shape { plain_backends: 2, zones: &["b", "c"], ..Shape::default() };
+    let (deployment, _directory) = harness::start_serving(shape).await;
+    deployment.configure(2, &[KEY, "key-two"]);
+    wait_until(|| async { status_code(&deployment, 0, "key-two").await == 200 }).await;
+    deployment.records.set_health(Health::Busy);
+    // The long poll of the gateway ends.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let lost = deployment.records.restore(BEFORE_START);
+    let (operator, others) =
+        lost.into_iter().partition(|(topic, _)| topic == names::OPERATOR_TOPIC);
+    deployment.evacuate("c");
+    deployment.records.write_again(operator);
+    deployment.records.write_again(others);
+    deployment.records.set_health(Health::Up);
+    let evacuated = &deployment.plain_backends[1];
+    let has_left = || async {
+        let before = evacuated.arrivals();
+        for _ in 0..20 {
+            deployment.send_request("GET", IDEMPOTENT, "probe").await;
+        }
+        evacuated.arrivals() == before
+    };
+    wait_until(has_left).await;
+}
--- a/standins/src/records.rs
+++ b/standins/src/records.rs
@@ -69,15 +69,15 @@
         self.records.len() as u64
     }
 
-    fn push(&mut self, is_keyed: bool, content: Bytes) {
-        let at = self.end_offset();
-        if is_keyed && let Ok(keyed) = store::decode_keyed_record(content.clone()) {
+    fn push(&mut self, is_keyed: bool, record: Stored) {
+        let offset = self.end_offset();
+        if is_keyed && let Ok(keyed) = store::decode_keyed_record(record.content.clone()) {
             match keyed.value {
-                Some(value) => drop(self.newest.insert(keyed.key, (at, value))),
+                Some(value) => drop(self.newest.insert(keyed.key, (offset, value))),
                 None => drop(self.newest.shift_remove(&keyed.key)),
             }
         }
-        self.records.push(Stored { at: Instant::now(), content });
+        self.records.push(record);
     }
 }
 
@@ -123,30 +123,37 @@
         }
     }
 
-    /// Restores the store from a copy of `age`, and begins a new era. What the operator and the backends
-    /// wrote since is written again, in order; other records are lost.
-    pub fn restore(&self, age: Duration) {
+    /// Restores the store from a copy of `age`, and begins a new era. Returns what the operator and the
+    /// backends wrote since, by topic, which they write again.
+    pub fn restore(&self, age: Duration) -> Vec<(String, Vec<Bytes>)> {
         let Some(copied_at) = Instant::now().checked_sub(age) else {
-            return;
+            return Vec::new();
         };
         let mut state = self.state();
         state.era += 1;
+        let mut rewritten = Vec::new();
         for (name, topic) in &mut state.topics {
             let kept = topic.records.partition_point(|record| record.at <= copied_at);
             let lost = topic.records.split_off(kept);
-            let is_rewritten =
-                [names::OPERATOR_TOPIC, names::BACKENDS_TOPIC].contains(&name.as_str());
-            let rewritten = if is_rewritten { lost } else { Vec::new() };
-            let records = std::mem::take(&mut topic.records).into_iter().chain(rewritten);
+            if [names::OPERATOR_TOPIC, names::BACKENDS_TOPIC].contains(&name.as_str()) {
+                let lost = lost.into_iter().map(|record| record.content);
+                rewritten.push((name.clone(), lost.collect()));
+            }
+            let records = std::mem::take(&mut topic.records);
             let first_offset = topic.first_offset.min(kept as u64);
             *topic = Topic { first_offset, ..Topic::default() };
-            for Stored { at, content } in records {
-                topic.push(is_keyed(name), content);
-                topic.records.last_mut().into_iter().for_each(|record| record.at = at);
-            }
+            records.into_iter().for_each(|record| topic.push(is_keyed(name), record));
         }
         drop(state);
         self.0.changed.notify_waiters();
+        rewritten
+    }
+
+    /// Writes records again that a restore has lost.
+    pub fn write_again(&self, lost: Vec<(String, Vec<Bytes>)>) {
+        for (topic, records) in lost {
+            self.append(&topic, records);
+        }
     }
 
     fn append(&self, topic: &str, records: Vec<Bytes>) -> (u64, u64) {
@@ -154,7 +161,8 @@
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
         let offset = topic.end_offset();
-        records.into_iter().for_each(|record| topic.push(is_keyed, record));
+        let at = Instant::now();
+        records.into_iter().for_each(|content| topic.push(is_keyed, Stored { at, content }));
         let end_offset = topic.end_offset();
         drop(state);
         self.0.changed.notify_waiters();
