Reject responses whose status or framing HTTP does not have

What callers saw here: 000 was already rejected, but 600 to 999 were passed on. A success that also says that it has not run was sent to a second backend, although it may have run once.

Cause: a status was accepted if it can be represented (100 to 999), only the first of several framing headers was read, and lengths were parsed with an optional sign.

Change: a status outside 100 to 599, several transfer codings, a content length besides one, a length that is not digits alone, and a status other than 4xx and 5xx with the not-run header make a response malformed. It promises nothing; requests that may run again do so elsewhere.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -302,9 +302,10 @@
                     false => AttemptEnd::NoResponse(Outcome::NotRun),
                 }
             }
-            metadata if !metadata.is_signed || metadata.is_encoded => {
-                let error =
-                    UpstreamError::Malformed { detail: "response is not signed or is encoded" };
+            metadata if !metadata.is_signed || metadata.is_encoded || metadata.is_contradictory => {
+                let error = UpstreamError::Malformed {
+                    detail: "response is not signed, is encoded or contradicts itself",
+                };
                 self.record_failure(call, key, &error);
                 AttemptEnd::NoResponse(Outcome::Unknown)
             }
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -22,6 +22,8 @@
 const READ_BUFFER_BYTES: usize = 16 << 10;
 const MAX_CHUNK_LINE_BYTES: usize = 1 << 10;
 const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// Status codes of the five classes of HTTP.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
 /// Maximum number of informational responses before the final one.
 const MAX_INFORMATIONAL: u32 = 16;
 const CRLF: &[u8] = b"\r\n";
@@ -270,7 +272,9 @@
         };
         let line = std::str::from_utf8(&rest[..len]).unwrap_or_default();
         let digits = line.split(';').next().unwrap_or_default().trim();
-        let size = u64::from_str_radix(digits, 16).map_err(|_| malformed("invalid chunk size"))?;
+        let size = Some(digits).filter(|digits| is_number(digits, 16));
+        let size = size.and_then(|digits| u64::from_str_radix(digits, 16).ok());
+        let size = size.ok_or(malformed("invalid chunk size"))?;
         if size > 0 {
             self.buffer.advance(start + len + CRLF.len());
             return Ok(Some(Framing::Chunked { remaining: size, after_chunk: true }));
@@ -318,7 +322,8 @@
         }
         httparse::Status::Partial => return Ok(None),
     };
-    let status = parsed.code.and_then(|code| StatusCode::from_u16(code).ok());
+    let code = parsed.code.filter(|code| STATUS_CODES.contains(code));
+    let status = code.and_then(|code| StatusCode::from_u16(code).ok());
     let status = status.ok_or(malformed("invalid status code"))?;
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for header in parsed.headers.iter() {
@@ -338,18 +343,24 @@
     if has_no_body || status.is_informational() {
         return Ok(Framing::Done);
     }
-    if let Some(coding) = headers.get(http::header::TRANSFER_ENCODING) {
-        return match coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
-            true => Ok(Framing::Chunked { remaining: 0, after_chunk: false }),
-            false => Err(UpstreamError::Malformed { detail: "unsupported transfer coding" }),
+    let mut codings = headers.get_all(http::header::TRANSFER_ENCODING).iter();
+    let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
+    if let Some(coding) = codings.next() {
+        let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        return match (is_chunked && codings.next().is_none(), lengths.next()) {
+            (true, None) => Ok(Framing::Chunked { remaining: 0, after_chunk: false }),
+            (true, Some(_)) => {
+                Err(UpstreamError::Malformed { detail: "content length of a chunked body" })
+            }
+            (false, _) => Err(UpstreamError::Malformed { detail: "unsupported transfer coding" }),
         };
     }
-    let mut lengths = headers.get_all(http::header::CONTENT_LENGTH).iter();
     match (lengths.next(), lengths.next()) {
         (None, _) => Ok(Framing::UntilClose),
         (Some(length), None) => {
-            let length = length.to_str().ok().and_then(|text| text.parse().ok());
+            let length = length.to_str().ok().filter(|text| is_number(text, 10));
             length
+                .and_then(|text| text.parse().ok())
                 .map(Framing::Length)
                 .ok_or(UpstreamError::Malformed { detail: "invalid content length" })
         }
@@ -358,3 +369,8 @@
         }
     }
 }
+
+/// Returns whether a text has only digits. Parsing alone accepts a sign.
+fn is_number(text: &str, radix: u32) -> bool {
+    !text.is_empty() && text.chars().all(|digit| digit.is_digit(radix))
+}
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -54,6 +54,8 @@
     ExtraBytes,
     /// The response lacks the signature header.
     Unsigned,
+    /// The response has this status line after the version, and these headers besides its own.
+    Odd(&'static str, &'static [(&'static str, &'static str)]),
     /// The request is run and the connection is closed after this many bytes of the response's head.
     CutHead(usize),
     /// The response has no length and the connection is reset halfway through the body.
@@ -487,6 +489,13 @@
                 write_response(stream, "200 OK", &signed_headers[..1], body.as_bytes()).await?;
                 Ok(true)
             }
+            Fault::Odd(status, headers) => {
+                let odd =
+                    headers.iter().map(|&(name, value)| (HeaderName::from_static(name), value));
+                let headers: Vec<_> = signed_headers.into_iter().chain(odd).collect();
+                write_response(stream, status, &headers, body.as_bytes()).await?;
+                Ok(true)
+            }
             Fault::CutHead(len) => {
                 let framing = self.group.is_some().then_some("Transfer-Encoding: chunked");
                 let head = response_head("200 OK", &signed_headers, framing);
