Bound the bytes of each response that a process reads

What could happen here: gateways bound heads and buffered bodies, but agents and leaders kept all that arrived from a backend in 150 ms, and every process all that arrived from the store in up to 2.5 s, also in an error response.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -432,7 +432,13 @@
                 });
             }
             let mut framing = response.framing;
-            while upstream.read_body(&mut framing).await?.is_some() {}
+            let mut read_bytes = 0;
+            while let Some(chunk) = upstream.read_body(&mut framing).await? {
+                read_bytes += chunk.len();
+                if read_bytes > MAX_RESPONSE_BYTES {
+                    return Err(UpstreamError::Malformed { detail: "response body is too large" });
+                }
+            }
             response = upstream.read_head().await?;
         }
         Err(UpstreamError::Malformed { detail: "too many responses to other requests" })
--- a/daemon/src/backend.rs
+++ b/daemon/src/backend.rs
@@ -7,7 +7,7 @@
 use currantlink_wire::link::{Failed, Head, Header, Submit};
 use derive_more::{Display, Error, From};
 use http::{HeaderName, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -16,6 +16,8 @@
 
 use crate::recording::{Recording, ResponsePart};
 
+/// Largest response to a request that is not a call, such as the state of the engine.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Header that passes the request id to the backend server.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -137,7 +139,7 @@
         if !response.status().is_success() {
             return Err(BackendError::Broken);
         }
-        let collected = response.into_body().collect().await;
+        let collected = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         Ok(collected.map_err(|_| BackendError::Broken)?.to_bytes())
     }
 
--- a/daemon/src/rank_client.rs
+++ b/daemon/src/rank_client.rs
@@ -20,6 +20,9 @@
 /// Timeout of an order. An order without a response is sent again and takes effect at most once.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Largest response. Counts and lists of experts have some tens of kilobytes.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
+
 /// Error of a request to a backend.
 #[derive(Debug, Display, Error, From)]
 pub enum RankError {
@@ -126,6 +129,9 @@
             let mut framing = response.framing;
             let mut content = BytesMut::new();
             while let Some(chunk) = upstream.read_body(&mut framing).await? {
+                if content.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                    return Err(UpstreamError::Malformed { detail: "response body is too large" });
+                }
                 content.extend_from_slice(&chunk);
             }
             Ok::<_, UpstreamError>((response.status, content.freeze()))
