Reserve the incomplete events of streams from the memory budget

Cause: the incomplete event of a stream may have 1 MiB, outside the budget that bounds all that callers' connections make a gateway hold.

Change: beyond 16 KiB it is reserved from the budget before it grows. A stream that finds no room waits until its caller's patience or deadline ends.

Test: unfinished_events, 96 streams of 1 MB each at a gateway of 64 MiB.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -28,9 +28,14 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the size of the buffered incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the incomplete event.
     pub fn drop_partial(&mut self) {
-        self.partial.clear();
+        self.partial = Vec::new();
     }
 
     /// Appends `bytes` and returns all events that are now complete.
--- a/daemon/src/caller_limits/mod.rs
+++ b/daemon/src/caller_limits/mod.rs
@@ -219,6 +219,11 @@
         Reservation { shared: Arc::clone(&self.0.shared), key: self.0.key, purpose, bytes: 0 }
     }
 
+    /// Returns a holder of the memory for the incomplete event of a stream.
+    pub fn hold_partial(&self) -> HeldPartial {
+        HeldPartial(self.reserve_nothing(Purpose::Response))
+    }
+
     /// Counts bytes of a response that are in memory already, until they are dropped.
     pub fn hold_response(&self, bytes: bytes::Bytes) -> bytes::Bytes {
         let mut reservation = self.reserve_nothing(Purpose::Response);
@@ -228,6 +233,23 @@
     }
 }
 
+/// Memory that is reserved for the incomplete event of a stream, released when dropped.
+pub struct HeldPartial(Reservation);
+
+impl HeldPartial {
+    /// Reserves what a growing buffer of `bytes` bytes takes. Returns false if it does not fit by `until`.
+    pub async fn grow_to(&mut self, bytes: usize, until: Instant) -> bool {
+        // The buffer doubles its capacity when it is full.
+        let missing = (2 * bytes).saturating_sub(self.0.bytes);
+        bytes <= self.0.bytes || self.0.grow(missing, until).await
+    }
+
+    /// Releases the memory.
+    pub fn release(&mut self) {
+        self.0.shrink(0);
+    }
+}
+
 /// Reserved bytes, released when dropped.
 struct Reservation {
     shared: Arc<Shared>,
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -16,6 +16,7 @@
 use http::{HeaderValue, StatusCode, header};
 
 use crate::attempts::{BackendResponse, Dispatched, Waited};
+use crate::caller_limits::HeldPartial;
 use crate::clock::now_ms;
 use crate::crashes::AnswerProgress;
 use crate::placement::StreamInProgress;
@@ -37,6 +38,7 @@
     relay: RetryState,
     tried: Vec<FleetKey>,
     splitter: EventSplitter,
+    partial: HeldPartial,
     backend_stream: Option<BackendStream>,
     /// Status and content type that the caller was given.
     head: (StatusCode, Option<HeaderValue>),
@@ -86,6 +88,7 @@
     ) -> Self {
         call.progress.record_head();
         let splitter = EventSplitter::new(call.metadata.last_event_id);
+        let partial = call.connection.hold_partial();
         let pauses = Some(PauseMeter::new(response.running));
         let head = (response.head.status, content_type(&response));
         let backend_stream = Some(BackendStream::from(response));
@@ -95,6 +98,7 @@
             relay,
             tried,
             splitter,
+            partial,
             backend_stream,
             head,
             pauses,
@@ -107,7 +111,7 @@
         loop {
             let backend_stream = self.backend_stream.as_mut()?;
             let key = backend_stream.response.key;
-            let reading = backend_stream.read(&self.call, &mut self.splitter);
+            let reading = backend_stream.read(&self.call, &mut self.splitter, &mut self.partial);
             let read = match self.gateway.while_awaited(&self.call, key, reading).await {
                 Waited::Read(read) => read,
                 Waited::Silent => StreamRead::Silent,
@@ -177,6 +181,7 @@
         self.pauses = None;
         self.in_progress = None;
         self.splitter.drop_partial();
+        self.partial.release();
         let resumable = matches!(self.call.route().repeat, Repeat::ResumableStream { .. });
         let next = self.relay.attempt_ended(outcome, || self.gateway.try_spend_retry(&self.call));
         if !resumable || next != NextAction::Retry {
@@ -284,7 +289,12 @@
         self.response.head.framing == Framing::UntilClose && !self.answer.has_events()
     }
 
-    async fn read(&mut self, call: &Call, splitter: &mut EventSplitter) -> StreamRead {
+    async fn read(
+        &mut self,
+        call: &Call,
+        splitter: &mut EventSplitter,
+        partial: &mut HeldPartial,
+    ) -> StreamRead {
         loop {
             let reading = self.response.upstream.read_body(&mut self.framing);
             let chunk = match tokio::time::timeout_at(call.deadline, reading).await {
@@ -305,7 +315,17 @@
                 Ok(Ok(None)) => return StreamRead::End,
                 Ok(Ok(Some(chunk))) => chunk,
             };
-            match splitter.push(&chunk) {
+            let held_bytes = splitter.partial_bytes() + chunk.len();
+            if held_bytes > BUFFERED_EVENT_BYTES
+                && !partial.grow_to(held_bytes, call.deadline).await
+            {
+                return StreamRead::Timeout;
+            }
+            let events = splitter.push(&chunk);
+            if splitter.partial_bytes() <= BUFFERED_EVENT_BYTES {
+                partial.release();
+            }
+            match events {
                 None => {
                     return StreamRead::Broken(UpstreamError::Malformed {
                         detail: "event is too large",
--- a/daemon/tests/hostile_clients.rs
+++ b/daemon/tests/hostile_clients.rs
@@ -1,5 +1,5 @@
-//! Clients that make a gateway hold memory and descriptors: the process lives, stays under the bounds of
-//! its settings and answers an ordinary request while they stay connected.
+//! Clients, and backends, that make a gateway hold memory and descriptors: the process lives, stays under
+//! the bounds of its settings and answers an ordinary request while they stay connected.
 
 #![allow(clippy::unwrap_used)]
 
@@ -10,9 +10,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use currantlink_standins::backends::Fault;
+use currantlink_standins::backends::{Backend, Fault};
 use currantlink_standins::deployment::{
-    self, ClientRequest, Deployment, HOST, IDEMPOTENT, KEY, ONCE, Shape, send_request, wait_until,
+    self, ClientRequest, Deployment, HOST, IDEMPOTENT, KEY, ONCE, STREAM, Shape, send_request,
+    wait_until,
 };
 use serde_json::json;
 use tempfile::TempDir;
@@ -56,11 +57,16 @@
 
 /// Starts a gateway with the given limits in its settings and the body limit in the configuration.
 async fn start(memory_mb: u64, max_fds: usize, max_body_bytes: usize) -> Site {
+    start_shaped(Shape::default(), memory_mb, max_fds, max_body_bytes).await
+}
+
+async fn start_shaped(shape: Shape, memory_mb: u64, max_fds: usize, max_body_bytes: usize) -> Site {
     let alone = ONE_AT_A_TIME.lock().await;
-    let (mut deployment, directory) = harness::start_serving(Shape::default()).await;
+    let (mut deployment, directory) = harness::start_serving(shape).await;
     let mut config = deployment::config(2, &[KEY]);
     config["limits"]["max_body_bytes"] = max_body_bytes.into();
     deployment::set_on_routes(&mut config, "timeout_ms", 30_000);
+    serve_streams_plainly(&mut config);
     deployment.put_config(&config.to_string());
     let gateway = &mut deployment.gateways[0].process;
     let text = fs::read_to_string(&gateway.settings).unwrap();
@@ -95,6 +101,13 @@
     }
 }
 
+/// Routes the streams to the plain service.
+fn serve_streams_plainly(config: &mut serde_json::Value) {
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["service"] = json!("plain");
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.is_over.store(true, Ordering::Relaxed);
@@ -169,8 +182,12 @@
 }
 
 fn head(index: usize, framing: &str) -> Vec<u8> {
+    head_to(ONCE, index, framing)
+}
+
+fn head_to(path: &str, index: usize, framing: &str) -> Vec<u8> {
     format!(
-        "POST {ONCE} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: h-{index}\r\nX-Deadline-Ms: 30000\r\n\
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: h-{index}\r\nX-Deadline-Ms: 30000\r\n\
          Authorization: Bearer {KEY}\r\n{framing}\r\n\r\n"
     )
     .into_bytes()
@@ -260,6 +277,23 @@
     site.check(crowd).await;
 }
 
+/// Guards against faulty backends whose streams each hold the beginning of an event that does not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_events() {
+    const EVENT_BYTES: usize = 1_000_000;
+    let shape = Shape { plain_backends: CROWD / 2, ..Shape::default() };
+    let mut site = start_shaped(shape, MEMORY_MB, 100 * MAX_FDS, MAX_BODY_BYTES).await;
+    for backend in &site.deployment.plain_backends {
+        backend.queue_faults(vec![Fault::PartialEvent(EVENT_BYTES); CROWD]);
+    }
+    let crowd = site.send_crowd(CROWD, |index| head_to(STREAM, index, "Content-Length: 0")).await;
+    let arrivals = || site.deployment.plain_backends.iter().map(Backend::arrivals).sum::<u64>();
+    wait_until(|| async { arrivals() >= CROWD as u64 }).await;
+    site.settle().await;
+    site.deployment.plain_backends.iter().for_each(Backend::clear_faults);
+    site.check(crowd).await;
+}
+
 /// Guards against connections that take all descriptors. A third send nothing, a third half a head, and
 /// the others the head of a request without its body.
 #[tokio::test(flavor = "multi_thread")]
--- a/standins/src/backends.rs
+++ b/standins/src/backends.rs
@@ -54,6 +54,8 @@
     ExtraBytes,
     /// The response lacks the signature header.
     Unsigned,
+    /// The event stream begins with this many bytes of an event that does not end.
+    PartialEvent(usize),
     /// The response has this status line after the version, and these headers besides its own.
     Odd(&'static str, &'static [(&'static str, &'static str)]),
     /// The request is run and the connection is closed after this many bytes of the response's head.
@@ -489,6 +491,12 @@
                 write_response(stream, "200 OK", &signed_headers[..1], body.as_bytes()).await?;
                 Ok(true)
             }
+            Fault::PartialEvent(len) => {
+                let head = response_head("200 OK", &signed_headers, None);
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&vec![b'x'; len]).await?;
+                self.hang(stream).await
+            }
             Fault::Odd(status, headers) => {
                 let odd =
                     headers.iter().map(|&(name, value)| (HeaderName::from_static(name), value));
