Claim leadership again before the versions of maps run out

Cause: a leader's versions start at its fencing token times 2^20 and are counted up without a bound, so that after 2^20 changes they are those of the next token. Found while reading what else may be given out again.

Change: after half of its versions a leader starts no change and claims leadership again, with a new token. The other half is left for recoveries.

Test: version_range fails before the change (2,097,152 changes up to version 7,340,032, beyond 6 * 2^20).

--- a/core/src/switch.rs
+++ b/core/src/switch.rs
@@ -46,6 +46,11 @@
 /// Time after which a change is abandoned if a rank has not prepared the map.
 pub const PREPARE_TIMEOUT_MS: u64 = 8_000;
 
+/// Versions of maps that each leader may use: those from its fencing token times this number on.
+const VERSIONS_PER_FENCE: u64 = 1 << 20;
+/// Changes that a leader starts. The other versions are for recoveries of the group.
+const MAX_CHANGES: u64 = VERSIONS_PER_FENCE / 2;
+
 /// Experts by set and rank.
 pub type ExpertMap = Vec<Vec<Vec<u32>>>;
 
@@ -275,11 +280,18 @@
     /// busy.
     pub fn is_ready(&self, now_ms: u64, ranks: &[Option<ObservedState>]) -> bool {
         self.phase == Phase::Idle
+            && !self.is_exhausted()
             && self
                 .usable_states(now_ms, ranks)
                 .is_some_and(|all| all.into_iter().all(is_quiescent))
     }
 
+    /// Returns whether the leader has no versions left for further changes. Another version would be one of
+    /// the next leader's.
+    pub fn is_exhausted(&self) -> bool {
+        self.phase == Phase::Idle && self.change_count >= MAX_CHANGES
+    }
+
     /// Starts a change to `map`; requires `is_ready`. Returns the version of the map, which no
     /// other leader uses.
     pub fn start(&mut self, now_ms: u64, map: Arc<ExpertMap>) -> u64 {
@@ -303,7 +315,6 @@
     }
 
     fn next_version(&mut self) -> u64 {
-        const VERSIONS_PER_FENCE: u64 = 1 << 20;
         self.change_count += 1;
         self.fence * VERSIONS_PER_FENCE + self.change_count
     }
--- a/core/tests/switch.rs
+++ b/core/tests/switch.rs
@@ -197,6 +197,25 @@
     assert!(!switch.is_ready(simulation.now_ms, &observed));
 }
 
+/// Guards against versions that a later leader gives out again: a leader that has made very many changes
+/// does not reach those of the next fencing token.
+#[test]
+fn version_range() {
+    const FENCE: u64 = 5;
+    let mut switch = Switch::new(FENCE, RANKS, 0);
+    let ranks = Simulation::new(1, OrderFaults { lost_percent: 0, max_delay_ms: 0 }).observed();
+    switch.advance(0, &ranks);
+    let (mut changes, mut version) = (0, 0);
+    while switch.is_ready(0, &ranks) && changes < 2 << 20 {
+        changes += 1;
+        version = switch.start(0, map());
+        switch.abandon_preparation(0);
+    }
+    assert!(changes > 100_000, "{changes} changes");
+    assert!(version < (FENCE + 1) << 20, "{changes} changes up to {version}");
+    assert!(switch.is_exhausted());
+}
+
 proptest! {
     #![proptest_config(common::proptest_config(256))]
 
--- a/daemon/src/agent/leadership.rs
+++ b/daemon/src/agent/leadership.rs
@@ -146,6 +146,10 @@
         let Some(rank) = self.rank.clone() else {
             return;
         };
+        if self.group_leader.as_ref().is_some_and(GroupLeader::is_exhausted) {
+            log::info!("leadership is claimed again: no versions of maps are left");
+            self.group_leader = None;
+        }
         if let Some(group_leader) = &mut self.group_leader {
             let mut backends_to_read = group_leader.take_due_reads(now);
             if group_leader.take_discovery_due(now) {
--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -155,6 +155,11 @@
         self.running += RUNNING_SMOOTHING * (f64::from(running) - self.running);
     }
 
+    /// Returns whether the leader has no versions left for further map changes.
+    pub fn is_exhausted(&self) -> bool {
+        self.switch.is_exhausted()
+    }
+
     /// Returns whether a map change is in progress.
     pub fn is_changing(&self) -> bool {
         *self.switch.phase() != Phase::Idle
