Ignore experts that the configuration does not have

What callers would see: the leader of a group ends, and each next one when it plans a change, because of one faulty backend.

Cause: the lists of experts that backends report are used as indexes when a map is planned. An unknown expert panics in the leader's only thread. Found while reading all that processes take from backends; not reported.

Change: a list with an unknown expert is ignored with a log line. The group keeps its map until the rank reports a valid list.

Test: unknown_experts fails before the change ("index out of bounds: the len is 4 but the index is 4").

--- a/daemon/src/group_leader.rs
+++ b/daemon/src/group_leader.rs
@@ -210,7 +210,7 @@
         rank.report_ms = now_ms;
         rank.has_map_in_use = report.has_map_in_use;
         rank.pace = report.pace;
-        if !report.experts.is_empty() {
+        if !report.experts.is_empty() && are_known(&report.experts, &self.profile) {
             rank.experts = report.experts;
             rank.experts_version = Some(report.state.map_version);
         }
@@ -237,7 +237,9 @@
 
     /// Records the experts of a rank that were read directly.
     pub fn record_experts(&mut self, rank: u32, map_version: u64, experts: Vec<Vec<u32>>) {
-        if let Some(rank) = self.ranks.get_mut(rank as usize) {
+        if let Some(rank) = self.ranks.get_mut(rank as usize)
+            && are_known(&experts, &self.profile)
+        {
             rank.experts = experts;
             rank.experts_version = Some(map_version);
         }
@@ -377,6 +379,15 @@
     }
 }
 
+/// Returns whether a list of experts, by set, names only those of the configuration.
+fn are_known(experts: &[Vec<u32>], profile: &ExpertProfile) -> bool {
+    let are_known = experts.iter().flatten().all(|&expert| (expert as usize) < profile.experts);
+    if !are_known {
+        log::warn!(experts = profile.experts; "rank reports experts that the configuration does not have");
+    }
+    are_known
+}
+
 /// A leader whose heartbeat was received.
 #[derive(Clone, Copy, Debug)]
 pub struct KnownLeader {
--- a/daemon/tests/planning.rs
+++ b/daemon/tests/planning.rs
@@ -167,3 +167,26 @@
     assert_eq!(group.ranks[0].map_version, first);
     assert!(!group.leader.is_changing());
 }
+
+/// Guards against a leader that ends because a backend reports experts that do not exist.
+#[test]
+fn unknown_experts() {
+    let mut group = Group::new();
+    group.report(&[20_000, 1_000, 1_000, 1_000]);
+    let report = Report {
+        state: RankState { map_version: 7, ..group.ranks[1].clone() },
+        choices: vec![1_000, 1_000, 1_000, 20_000],
+        experts: vec![vec![2, u32::MAX]],
+        backend: address(101),
+        has_map_in_use: false,
+        pace: 1.0,
+    };
+    group.leader.record_report(group.now_ms, address(1), report);
+    group.leader.record_experts(1, 7, vec![vec![2, PROFILE.experts as u32]]);
+    group.leader.record_experts(0, 7, vec![vec![0, 1]]);
+    group.ranks.iter_mut().for_each(|rank| rank.map_version = 7);
+    for _ in 0..40 {
+        group.report(&[]);
+        assert_eq!(group.advance(), None, "the map in use is unknown");
+    }
+}
