--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -172,12 +172,8 @@
 const DRAIN_MS: u64 = 2_000;
 const RETRY_MS: u64 = 200;
 
-/// Returns how long a gateway uses a backend after its entry was removed at `removed_ms`. The gateway reads
-/// at 0 and `interval_ms` later, when `failures` calls fail before one succeeds.
-fn use_after_removal(interval_ms: u64, failures: u64, removed_ms: u64) -> u64 {
-    let (mut reachability, mut contact) = (Reachability::default(), StoreContact::default());
-    let mut fleet = Fleet::default();
-    let announcement = Announcement {
+fn announcement() -> Announcement {
+    Announcement {
         started_at_ms: 1,
         service: "llm".into(),
         address: ([127, 0, 0, 1], 1).into(),
@@ -185,9 +181,16 @@
         draining: false,
         slots: 4,
         cold_remaining_ms: None,
-    };
+    }
+}
+
+/// Returns how long a gateway uses a backend after its entry was removed at `removed_ms`. The gateway reads
+/// at 0 and `interval_ms` later, when `failures` calls fail before one succeeds.
+fn use_after_removal(interval_ms: u64, failures: u64, removed_ms: u64) -> u64 {
+    let (mut reachability, mut contact) = (Reachability::default(), StoreContact::default());
+    let mut fleet = Fleet::default();
     contact.record_read(0, reachability.record_contact(), false);
-    fleet.observe("a", Observation::Present(announcement), 0);
+    fleet.observe("a", Observation::Present(announcement()), 0);
     for _ in 0..failures {
         reachability.record_failure();
     }
@@ -219,6 +222,89 @@
     assert!(use_after_removal(1_000, 10, 2_900) > DRAIN_MS);
 }
 
+/// A gateway that follows the list of one backend, as `backend_follower` does.
+struct Follower {
+    position: u64,
+    read_at_ms: u64,
+    reachability: Reachability,
+    contact: StoreContact,
+    fleet: Fleet,
+}
+
+impl Follower {
+    fn new(read_at_ms: u64) -> Self {
+        let mut fleet = Fleet::default();
+        fleet.observe("a", Observation::Present(announcement()), 0);
+        let (reachability, contact) = (Reachability::default(), StoreContact::default());
+        Self { position: 0, read_at_ms, reachability, contact, fleet }
+    }
+
+    fn advance_to(&mut self, position: u64, now_ms: u64) {
+        if position > std::mem::replace(&mut self.position, position) {
+            self.fleet.observe("a", Observation::Dropped, now_ms);
+        }
+    }
+
+    /// Reads, and returns what other gateways are told: the range and the age of the end of an outage.
+    fn read(&mut self, end: u64, now_ms: u64, draw: u64) -> (ReadRange, Option<u64>) {
+        let range = read_range(self.position, end);
+        if self.contact.record_read(now_ms, self.reachability.record_contact(), false) {
+            self.fleet.store_recovered(now_ms);
+        }
+        self.advance_to(end, now_ms);
+        self.read_at_ms = now_ms + next_read_ms(0, draw);
+        (range, self.contact.announced_age_ms(now_ms))
+    }
+
+    fn receive(&mut self, (range, age_ms): (ReadRange, Option<u64>), now_ms: u64, draw: u64) {
+        if range.use_at(Some(at(self.position))) != Use::New {
+            return;
+        }
+        let reconnected_at_ms = age_ms.map(|age_ms| now_ms - age_ms);
+        if let Some(at_ms) = self.contact.record_passed_on(now_ms, reconnected_at_ms) {
+            self.fleet.store_recovered(at_ms);
+        }
+        self.advance_to(range.next_offset, now_ms);
+        self.reachability.record_contact();
+        self.read_at_ms = now_ms + next_read_ms(0, draw);
+    }
+}
+
+/// Guards against a gateway that was cut off and makes an undisturbed one keep a backend that was removed,
+/// in any order of the cut, the removal and the reads of both.
+#[test]
+fn cut_gateway() {
+    for seed in 0..2_000 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let cut_ms = random.random_range(2_000..4_000);
+        let healed_ms = cut_ms + random.random_range(200..6_000);
+        let removed_ms = random.random_range(cut_ms..healed_ms + 1_500);
+        // Messages may be lost, and the cut may hold for them as well.
+        let (loss, is_isolated) = (random.random_range(0.0..1.0), random.random_bool(0.5));
+        let mut gateways = [0, 1].map(|_| Follower::new(random.random_range(0..1_000)));
+        for now_ms in 0..removed_ms + DRAIN_MS {
+            let is_cut = (cut_ms..healed_ms).contains(&now_ms);
+            for index in 0..2 {
+                gateways[index].fleet.remove_expired(now_ms);
+                if gateways[index].read_at_ms != now_ms {
+                    continue;
+                }
+                if is_cut && index == 0 {
+                    gateways[index].reachability.record_failure();
+                    gateways[index].read_at_ms = now_ms + RETRY_MS;
+                    continue;
+                }
+                let told =
+                    gateways[index].read(u64::from(now_ms >= removed_ms), now_ms, random.random());
+                if !random.random_bool(loss) && !(is_isolated && is_cut) {
+                    gateways[1 - index].receive(told, now_ms, random.random());
+                }
+            }
+        }
+        assert_eq!(gateways[1].fleet.available("llm").count(), 0, "seed {seed}");
+    }
+}
+
 /// Guards against the end of an outage that is announced again and again by gateways that learned of it
 /// from each other.
 #[test]
