--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backends;
 pub mod deployment;
+pub mod endless;
 pub mod engine;
 pub mod list;
 pub mod lockstep;
