--- a/core/tests/shared_reads.rs
+++ b/core/tests/shared_reads.rs
@@ -296,7 +296,8 @@
                 }
                 let told =
                     gateways[index].read(u64::from(now_ms >= removed_ms), now_ms, random.random());
-                if !random.random_bool(loss) && !(is_isolated && is_cut) {
+                let is_lost = random.random_bool(loss) || is_isolated && is_cut;
+                if !is_lost {
                     gateways[1 - index].receive(told, now_ms, random.random());
                 }
             }
