--- a/review/stand-ins-3/platform.rs
+++ b/review/stand-ins-3/platform.rs
@@ -34,6 +34,10 @@
         at
     }
 
+    pub fn texts(&self) -> Vec<String> {
+        self.lines.lock().unwrap().iter().map(|(_, text)| text.clone()).collect()
+    }
+
     pub fn write(&self, path: &Path) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by(|a, b| a.0.total_cmp(&b.0));
