--- a/review/stand-ins-3/crowded_front.rs
+++ b/review/stand-ins-3/crowded_front.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Record, Runner, Store, free_ports, has_trouble, read_message, wait_ready,
+    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports, has_trouble, read_message, wait_ready,
 };
 
 /// Memory and descriptors of the smallest `front` machines of zpr-currant-grown, and its bounds.
@@ -62,12 +62,12 @@
     for (index, zone) in ["riga-a", "riga-b", "riga-c"].iter().enumerate() {
         let (id, service) = (format!("i-{index:08x}"), "shopdesk".to_owned());
         let work = Duration::from_millis(30);
-        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 200, work };
+        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 200, work, weights: None, events: USUAL_EVENTS, standing: Standing::default() };
         runner.start("127.0.0.1:0", &store, record);
     }
     store.put("keyed.op", "config", CONFIG);
     let ports = free_ports("127.0.0.1", 3);
-    let mut processes = Processes::new();
+    let mut processes = Processes::new(0);
     processes.start_gateway(&GatewaySettings {
         name: "front-riga-a-1",
         zone: "riga-a",
--- a/review/stand-ins-3/platform.rs
+++ b/review/stand-ins-3/platform.rs
@@ -119,7 +119,8 @@
         for stream in listener.incoming().flatten() {
             let _ = stream.set_nodelay(true);
             let handle = Arc::clone(&handle);
-            thread::spawn(move || handle(stream));
+            let thread = thread::Builder::new().stack_size(128 << 10);
+            thread.spawn(move || handle(stream)).expect("no thread");
         }
     });
 }
@@ -310,13 +311,40 @@
     }
 }
 
-/// A plain runner, which runs each request for `work` and answers it.
+/// Events of the stand-ins' usual streams.
+pub const USUAL_EVENTS: (u32, Duration) = (8, Duration::from_millis(30));
+
+/// State of a runner that the platform changes while it runs.
+#[derive(Clone, Default)]
+pub struct Standing {
+    draining: Arc<AtomicBool>,
+    gone: Arc<AtomicBool>,
+}
+
+impl Standing {
+    /// Lets the runner's entry say that it drains.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Removes the runner's entry.
+    pub fn remove(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A runner, which runs each request for `work` and answers it.
 pub struct Runner {
     pub id: String,
     pub service: String,
     pub zone: String,
     pub slots: u32,
     pub work: Duration,
+    /// Version of its weights, if it is a model runner. Its answers are streams of events.
+    pub weights: Option<u32>,
+    /// Number of events of a stream, and the pause between two.
+    pub events: (u32, Duration),
+    pub standing: Standing,
 }
 
 impl Runner {
@@ -325,6 +353,7 @@
         let listener = TcpListener::bind(address).expect("runner cannot listen");
         let address = listener.local_addr().unwrap().to_string();
         let (id, work, record) = (self.id.clone(), self.work, record.clone());
+        let (weights, events) = (self.weights, self.events);
         serve(listener, move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().unwrap());
             while let Some(request) = read_message(&mut reader) {
@@ -335,13 +364,27 @@
                     let _ = respond(&mut stream, "421 Misdirected Request", &headers, b"");
                     continue;
                 }
+                let version = request.header("x-expect-version").and_then(|v| v.parse::<u32>().ok());
+                if weights.is_some() && version.is_some() && version != weights {
+                    record.add(format!("refused {attempt} at {id}: its weights have version {}", weights.unwrap_or(0)));
+                    let headers = format!("X-Instance-Id: {id}\r\nAt-Server: {id}\r\nX-Attempt-Id: {attempt}\r\n");
+                    let _ = respond(&mut stream, "421 Misdirected Request", &headers, b"");
+                    continue;
+                }
                 let tenant = request.header("x-tenant").unwrap_or("-");
                 let target = request.first.split(' ').nth(1).unwrap_or_default();
                 record.add(format!("run {attempt} at {id} tenant {tenant} {target}"));
                 thread::sleep(work);
-                let headers = format!(
+                let mut headers = format!(
                     "X-Attempt-Id: {attempt}\r\nX-Response-Seal: {id}.{attempt}\r\nKeep-Alive: timeout=15\r\n"
                 );
+                if let Some(version) = weights {
+                    headers += &format!("X-Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n");
+                    if stream_events(&mut stream, &headers, events).is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 if respond(&mut stream, "200 OK", &headers, format!("answer to {attempt}").as_bytes()).is_err() {
                     return;
                 }
@@ -349,21 +392,45 @@
         });
         let (store, entry_address) = (store.clone(), address.clone());
         thread::spawn(move || {
-            let Self { id, service, zone, slots, .. } = self;
+            let Self { id, service, zone, slots, standing, .. } = self;
             for sequence in 0.. {
+                if standing.gone.load(Ordering::SeqCst) {
+                    store.put("keyed.servers", &id, "");
+                    return;
+                }
+                let state = if standing.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
                 let entry = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{entry_address}\",\"zone\":\"{zone}\",\
-                     \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
+                     \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
                      \"sequence\":{sequence}}}"
                 );
                 store.put("keyed.servers", &id, &entry);
-                thread::sleep(Duration::from_millis(1_200));
+                // A change of the state is written at once.
+                for _ in 0..12 {
+                    thread::sleep(Duration::from_millis(100));
+                    let changed = standing.draining.load(Ordering::SeqCst) && state == "ready";
+                    if changed || standing.gone.load(Ordering::SeqCst) {
+                        break;
+                    }
+                }
             }
         });
         address
     }
 }
 
+/// Sends a stream of events.
+fn stream_events(stream: &mut TcpStream, headers: &str, (count, pause): (u32, Duration)) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
+    for id in 1..=count {
+        let event = format!("id: {id}\ndata: token {id}\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        thread::sleep(pause);
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
 /// Settings of a gateway that differ between cases.
 pub struct GatewaySettings<'a> {
     pub name: &'a str,
@@ -383,8 +450,9 @@
 }
 
 impl Processes {
-    pub fn new() -> Self {
-        let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+    /// Creates an empty set of processes. `number` tells those of one case apart.
+    pub fn new(number: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("review-3-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("no temporary folder");
         Self { folder, children: Vec::new() }
     }
@@ -415,6 +483,19 @@
         std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// Kills all processes.
+    pub fn kill_all(&mut self) {
+        for mut child in self.children.drain(..) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Returns the ids of the processes.
+    pub fn ids(&self) -> Vec<u32> {
+        self.children.iter().map(Child::id).collect()
+    }
+
     /// Returns whether all processes run.
     pub fn all_run(&mut self) -> bool {
         self.children.iter_mut().all(|child| matches!(child.try_wait(), Ok(None)))
--- a/review/stand-ins-3/silent_store.rs
+++ b/review/stand-ins-3/silent_store.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Proxy, Record, Runner, Store, free_ports, has_trouble, request,
+    Ended, GatewaySettings, Processes, Proxy, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports, has_trouble, request,
     wait_ready,
 };
 
@@ -66,11 +66,11 @@
     let (proxy, proxy_address) = Proxy::start("127.0.0.1:0", store_address);
     for (index, zone) in ["riga-a", "riga-b", "riga-c"].iter().enumerate() {
         let (id, service) = (format!("i-{index:08x}"), "shopdesk".to_owned());
-        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 6, work: Duration::from_millis(5) };
+        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 6, work: Duration::from_millis(5), weights: None, events: USUAL_EVENTS, standing: Standing::default() };
         runner.start("127.0.0.1:0", &store, record);
     }
     store.put("keyed.op", "config", &config(1, false, &["key-kept", "key-revoked"]));
-    let mut processes = Processes::new();
+    let mut processes = Processes::new(0);
     let ports = free_ports("127.0.0.1", 3);
     let ips: Vec<String> = (0..GATEWAYS).map(|index| format!("127.0.1.{}", index + 1)).collect();
     for (index, ip) in ips.iter().enumerate() {
