--- a/review/stand-ins-3/crowded_front.rs
+++ b/review/stand-ins-3/crowded_front.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports, has_trouble, read_message, wait_ready,
+    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports,
+    has_trouble, read_message, wait_ready,
 };
 
 /// Memory and descriptors of the smallest `front` machines of zpr-currant-grown, and its bounds.
@@ -62,7 +63,16 @@
     for (index, zone) in ["riga-a", "riga-b", "riga-c"].iter().enumerate() {
         let (id, service) = (format!("i-{index:08x}"), "shopdesk".to_owned());
         let work = Duration::from_millis(30);
-        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 200, work, weights: None, events: USUAL_EVENTS, standing: Standing::default() };
+        let runner = Runner {
+            id,
+            service,
+            zone: (*zone).to_owned(),
+            slots: 200,
+            work,
+            weights: None,
+            events: USUAL_EVENTS,
+            standing: Standing::default(),
+        };
         runner.start("127.0.0.1:0", &store, record);
     }
     store.put("keyed.op", "config", CONFIG);
@@ -118,9 +128,12 @@
     let runs = texts.iter().filter_map(|text| text.strip_prefix("run ")?.split(' ').next());
     let arrived: HashSet<&str> = runs.collect();
     let counts = counts.lock().unwrap();
-    let lost: Vec<&String> = counts.unanswered.iter().filter(|id| arrived.contains(id.as_str())).collect();
+    let lost: Vec<&String> =
+        counts.unanswered.iter().filter(|id| arrived.contains(id.as_str())).collect();
     for attempt in &lost {
-        record.add(format!("lost {attempt}: it ran, and its connection was closed without an answer"));
+        record.add(format!(
+            "lost {attempt}: it ran, and its connection was closed without an answer"
+        ));
     }
     let summary = format!(
         "{} answered ({before} before the burst); {} requests on kept connections had their connection closed without an \
@@ -172,12 +185,14 @@
             if stream.write_all(head.as_bytes()).is_err() {
                 break;
             }
-            let sent_at = record.add(format!("sent {attempt}, request {on_connection} of its connection"));
+            let sent_at =
+                record.add(format!("sent {attempt}, request {on_connection} of its connection"));
             match read_message(&mut reader) {
                 Some(answer) => {
                     record.add(format!("answered {attempt} {}", answer.status()));
                     counts.lock().unwrap().answered += 1;
-                    if answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+                    if answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
+                    {
                         break;
                     }
                 }
--- a/review/stand-ins-3/heavy_heads.rs
+++ b/review/stand-ins-3/heavy_heads.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, free_ports, has_trouble, read_head, wait_ready,
+    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, free_ports, has_trouble,
+    read_head, wait_ready,
 };
 
 /// Memory and descriptors of the smallest `front` machines of zpr-currant-grown, and its bounds.
@@ -86,8 +87,11 @@
     let mut platforms = Vec::new();
     for index in 0..GATEWAYS {
         let (store, record, ended) = (store_address.clone(), record.clone(), ended.clone());
-        let (ends, highest, ports) = (Arc::clone(&ends[index]), Arc::clone(&highest[index]), ports.clone());
-        platforms.push(thread::spawn(move || run_gateway(index, &ports, &store, &record, &ended, &ends, &highest)));
+        let (ends, highest, ports) =
+            (Arc::clone(&ends[index]), Arc::clone(&highest[index]), ports.clone());
+        platforms.push(thread::spawn(move || {
+            run_gateway(index, &ports, &store, &record, &ended, &ends, &highest)
+        }));
     }
     for index in 0..GATEWAYS {
         if !wait_ready(&format!("127.0.3.{}:{}", index + 1, ports[1]), Duration::from_secs(15)) {
@@ -100,8 +104,11 @@
         for user in users {
             for index in 0..GATEWAYS {
                 let address = format!("127.0.3.{}:{}", index + 1, ports[0]);
-                let (ended, answered, record) = (ended.clone(), Arc::clone(&answered), record.clone());
-                let task = move || be_user(index * 10_000 + user, &address, is_once, &record, &answered, &ended);
+                let (ended, answered, record) =
+                    (ended.clone(), Arc::clone(&answered), record.clone());
+                let task = move || {
+                    be_user(index * 10_000 + user, &address, is_once, &record, &answered, &ended)
+                };
                 let thread = thread::Builder::new().stack_size(128 << 10);
                 thread.spawn(task).expect("no thread");
             }
@@ -174,7 +181,9 @@
             let mut highest = highest.lock().unwrap();
             *highest = kb.max(*highest);
             if kb > MEMORY_MB * 1_024 {
-                record.add(format!("gateway {index} uses {kb} KiB, more than {MEMORY_MB} MB: it is killed"));
+                record.add(format!(
+                    "gateway {index} uses {kb} KiB, more than {MEMORY_MB} MB: it is killed"
+                ));
                 break;
             }
             if !processes.all_run() {
@@ -189,8 +198,16 @@
 }
 
 /// Sends requests on a kept connection and reads the streams that answer them; one request if `is_once`.
-fn be_user(user: usize, address: &str, is_once: bool, record: &Record, answered: &AtomicUsize, ended: &Ended) {
-    let padding: String = (0..HEAD_BYTES / 200).map(|n| format!("X-Context-{n}: {}\r\n", "c".repeat(184))).collect();
+fn be_user(
+    user: usize,
+    address: &str,
+    is_once: bool,
+    record: &Record,
+    answered: &AtomicUsize,
+    ended: &Ended,
+) {
+    let padding: String =
+        (0..HEAD_BYTES / 200).map(|n| format!("X-Context-{n}: {}\r\n", "c".repeat(184))).collect();
     let body = vec![b'p'; BODY_BYTES];
     let mut number = 0;
     while !ended.is_set() {
--- a/review/stand-ins-3/pinned_weights.rs
+++ b/review/stand-ins-3/pinned_weights.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports, has_trouble, request, wait_ready,
+    Ended, GatewaySettings, Processes, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports,
+    has_trouble, request, wait_ready,
 };
 
 /// Machines and bounds of faelles-clear.
@@ -65,7 +66,8 @@
 
 fn run(record: &Record) -> i32 {
     let (store, store_address) = Store::start("127.0.0.1:0");
-    let mut old: Vec<Standing> = (0..RUNNERS).map(|number| start_runner(number, 1, &store, record)).collect();
+    let mut old: Vec<Standing> =
+        (0..RUNNERS).map(|number| start_runner(number, 1, &store, record)).collect();
     store.put("keyed.op", "config", CONFIG);
     let ports = free_ports("127.0.0.1", 3);
     let ips: Vec<String> = (0..GATEWAYS).map(|index| format!("127.0.2.{}", index + 1)).collect();
@@ -94,8 +96,11 @@
     for index in 0..GATEWAYS {
         let address = format!("{}:{}", ips[index], ports[0]);
         for user in 0..3 {
-            let (address, record, sent, ended) = (address.clone(), record.clone(), Arc::clone(&sent), ended.clone());
-            thread::spawn(move || call_repeatedly(index * 10 + user, &address, &record, Some(&sent), &ended));
+            let (address, record, sent, ended) =
+                (address.clone(), record.clone(), Arc::clone(&sent), ended.clone());
+            thread::spawn(move || {
+                call_repeatedly(index * 10 + user, &address, &record, Some(&sent), &ended)
+            });
         }
         // The client that names a version: its connections go to each gateway in turn.
         let (record, ended) = (record.clone(), ended.clone());
@@ -115,7 +120,9 @@
                 });
                 sleep_s(0.5);
             }
-            record.add(format!("release {batch}: {count} runners are replaced by ones with weights of version 2"));
+            record.add(format!(
+                "release {batch}: {count} runners are replaced by ones with weights of version 2"
+            ));
         }
         sleep_s(DRAIN_S + 2.0);
     }
@@ -136,7 +143,13 @@
 }
 
 /// Sends a request about every 200 ms; with a version each second, if `sent` is none.
-fn call_repeatedly(user: usize, address: &str, record: &Record, sent: Option<&Mutex<Vec<(f64, u16)>>>, ended: &Ended) {
+fn call_repeatedly(
+    user: usize,
+    address: &str,
+    record: &Record,
+    sent: Option<&Mutex<Vec<(f64, u16)>>>,
+    ended: &Ended,
+) {
     for number in 0.. {
         if ended.is_set() {
             return;
@@ -166,7 +179,8 @@
 
 fn judge(record: &Record, sent: &[(f64, u16)], fault_at: f64, back_at: f64) -> i32 {
     let share = |from: f64, to: f64| {
-        let within: Vec<&(f64, u16)> = sent.iter().filter(|(at, _)| (from..to).contains(at)).collect();
+        let within: Vec<&(f64, u16)> =
+            sent.iter().filter(|(at, _)| (from..to).contains(at)).collect();
         let served = within.iter().filter(|(_, status)| *status == 200).count();
         (served, within.len())
     };
--- a/review/stand-ins-3/platform.rs
+++ b/review/stand-ins-3/platform.rs
@@ -34,6 +34,10 @@
         at
     }
 
+    pub fn entries(&self) -> Vec<(f64, String)> {
+        self.lines.lock().unwrap().clone()
+    }
+
     pub fn texts(&self) -> Vec<String> {
         self.lines.lock().unwrap().iter().map(|(_, text)| text.clone()).collect()
     }
@@ -107,7 +111,12 @@
     Some(message)
 }
 
-fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> std::io::Result<()> {
+fn respond(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> std::io::Result<()> {
     let length = body.len();
     let head = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n");
     stream.write_all(&[head.as_bytes(), body].concat())
@@ -129,7 +138,8 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0_u32, |bits, &b| bits << 8 | u32::from(b)) << (8 * (3 - chunk.len()));
+        let bits = chunk.iter().fold(0_u32, |bits, &b| bits << 8 | u32::from(b))
+            << (8 * (3 - chunk.len()));
         for place in 0..4 {
             match place <= chunk.len() {
                 true => text.push(DIGITS[(bits >> (18 - 6 * place) & 63) as usize] as char),
@@ -166,7 +176,8 @@
         while let Some(request) = read_message(&mut reader) {
             let target = request.first.split(' ').nth(1).unwrap_or_default();
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
-            let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+            let query: HashMap<&str, &str> =
+                query.split('&').filter_map(|p| p.split_once('=')).collect();
             let topic = query.get("topic").copied().unwrap_or_default().to_owned();
             // 4 ms an answer, as the sheets say.
             thread::sleep(Duration::from_millis(4));
@@ -210,7 +221,12 @@
         respond(stream, "200 OK", JSON, text.as_bytes())
     }
 
-    fn read(&self, stream: &mut TcpStream, topic: &str, query: &HashMap<&str, &str>) -> std::io::Result<()> {
+    fn read(
+        &self,
+        stream: &mut TcpStream,
+        topic: &str,
+        query: &HashMap<&str, &str>,
+    ) -> std::io::Result<()> {
         let number = |name: &str| query.get(name).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
         let from = number("from") as usize;
         let until = Instant::now() + Duration::from_millis(number("wait_ms"));
@@ -234,7 +250,12 @@
         respond(stream, "200 OK", "Content-Type: application/octet-stream\r\n", &body)
     }
 
-    fn newest(&self, stream: &mut TcpStream, topic: &str, query: &HashMap<&str, &str>) -> std::io::Result<()> {
+    fn newest(
+        &self,
+        stream: &mut TcpStream,
+        topic: &str,
+        query: &HashMap<&str, &str>,
+    ) -> std::io::Result<()> {
         let topics = self.0.0.lock().unwrap();
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
         let mut newest = std::collections::BTreeMap::new();
@@ -364,10 +385,16 @@
                     let _ = respond(&mut stream, "421 Misdirected Request", &headers, b"");
                     continue;
                 }
-                let version = request.header("x-expect-version").and_then(|v| v.parse::<u32>().ok());
+                let version =
+                    request.header("x-expect-version").and_then(|v| v.parse::<u32>().ok());
                 if weights.is_some() && version.is_some() && version != weights {
-                    record.add(format!("refused {attempt} at {id}: its weights have version {}", weights.unwrap_or(0)));
-                    let headers = format!("X-Instance-Id: {id}\r\nAt-Server: {id}\r\nX-Attempt-Id: {attempt}\r\n");
+                    record.add(format!(
+                        "refused {attempt} at {id}: its weights have version {}",
+                        weights.unwrap_or(0)
+                    ));
+                    let headers = format!(
+                        "X-Instance-Id: {id}\r\nAt-Server: {id}\r\nX-Attempt-Id: {attempt}\r\n"
+                    );
                     let _ = respond(&mut stream, "421 Misdirected Request", &headers, b"");
                     continue;
                 }
@@ -379,13 +406,22 @@
                     "X-Attempt-Id: {attempt}\r\nX-Response-Seal: {id}.{attempt}\r\nKeep-Alive: timeout=15\r\n"
                 );
                 if let Some(version) = weights {
-                    headers += &format!("X-Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n");
+                    headers += &format!(
+                        "X-Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n"
+                    );
                     if stream_events(&mut stream, &headers, events).is_err() {
                         return;
                     }
                     continue;
                 }
-                if respond(&mut stream, "200 OK", &headers, format!("answer to {attempt}").as_bytes()).is_err() {
+                if respond(
+                    &mut stream,
+                    "200 OK",
+                    &headers,
+                    format!("answer to {attempt}").as_bytes(),
+                )
+                .is_err()
+                {
                     return;
                 }
             }
@@ -398,7 +434,8 @@
                     store.put("keyed.servers", &id, "");
                     return;
                 }
-                let state = if standing.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+                let state =
+                    if standing.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
                 let entry = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{entry_address}\",\"zone\":\"{zone}\",\
                      \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
@@ -420,7 +457,11 @@
 }
 
 /// Sends a stream of events.
-fn stream_events(stream: &mut TcpStream, headers: &str, (count, pause): (u32, Duration)) -> std::io::Result<()> {
+fn stream_events(
+    stream: &mut TcpStream,
+    headers: &str,
+    (count, pause): (u32, Duration),
+) -> std::io::Result<()> {
     let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
     stream.write_all(head.as_bytes())?;
     for id in 1..=count {
@@ -459,7 +500,8 @@
 
     /// Starts a gateway with the command of the deploy file.
     pub fn start_gateway(&mut self, settings: &GatewaySettings<'_>) {
-        let GatewaySettings { name, zone, ip, front_port, ready_port, link_port, store, figures } = settings;
+        let GatewaySettings { name, zone, ip, front_port, ready_port, link_port, store, figures } =
+            settings;
         let text = format!(
             "{{\"name\":\"{name}\",\"failure_domain\":\"{zone}\",\"ip\":\"{ip}\",\
              \"callers_address\":\"{ip}:{front_port}\",\"readiness_address\":\"{ip}:{ready_port}\",\
@@ -515,7 +557,12 @@
 }
 
 /// Sends a request on a new connection and returns the answer.
-pub fn request(address: &str, head: &str, body: &[u8], timeout: Duration) -> std::io::Result<Message> {
+pub fn request(
+    address: &str,
+    head: &str,
+    body: &[u8],
+    timeout: Duration,
+) -> std::io::Result<Message> {
     let target = address.parse().map_err(|_| std::io::Error::from(ErrorKind::InvalidInput))?;
     let mut stream = TcpStream::connect_timeout(&target, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
@@ -527,7 +574,8 @@
 /// Waits until a gateway says that it is ready.
 pub fn wait_ready(address: &str, limit: Duration) -> bool {
     let until = Instant::now() + limit;
-    let head = format!("GET /api/readiness HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let head =
+        format!("GET /api/readiness HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     while Instant::now() < until {
         if request(address, &head, b"", Duration::from_secs(1)).is_ok_and(|a| a.status() == 200) {
             return true;
--- a/review/stand-ins-3/silent_store.rs
+++ b/review/stand-ins-3/silent_store.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use platform::{
-    Ended, GatewaySettings, Processes, Proxy, Record, Runner, Standing, Store, USUAL_EVENTS, free_ports, has_trouble, request,
-    wait_ready,
+    Ended, GatewaySettings, Processes, Proxy, Record, Runner, Standing, Store, USUAL_EVENTS,
+    free_ports, has_trouble, request, wait_ready,
 };
 
 /// Number of `front` machines of zpr-currant-grown, and its bounds.
@@ -66,7 +66,16 @@
     let (proxy, proxy_address) = Proxy::start("127.0.0.1:0", store_address);
     for (index, zone) in ["riga-a", "riga-b", "riga-c"].iter().enumerate() {
         let (id, service) = (format!("i-{index:08x}"), "shopdesk".to_owned());
-        let runner = Runner { id, service, zone: (*zone).to_owned(), slots: 6, work: Duration::from_millis(5), weights: None, events: USUAL_EVENTS, standing: Standing::default() };
+        let runner = Runner {
+            id,
+            service,
+            zone: (*zone).to_owned(),
+            slots: 6,
+            work: Duration::from_millis(5),
+            weights: None,
+            events: USUAL_EVENTS,
+            standing: Standing::default(),
+        };
         runner.start("127.0.0.1:0", &store, record);
     }
     store.put("keyed.op", "config", &config(1, false, &["key-kept", "key-revoked"]));
@@ -157,9 +166,13 @@
 }
 
 fn judge(record: &Record, sent: &HashMap<String, (f64, u16)>, acked_at: f64, bound_at: f64) -> i32 {
-    let served_before = sent.values().filter(|(at, status)| *at < acked_at - 0.5 && *status == 200).count();
-    let late: Vec<(&String, f64)> =
-        sent.iter().filter(|(_, (at, status))| *at > bound_at && *status == 200).map(|(id, s)| (id, s.0)).collect();
+    let served_before =
+        sent.values().filter(|(at, status)| *at < acked_at - 0.5 && *status == 200).count();
+    let late: Vec<(&String, f64)> = sent
+        .iter()
+        .filter(|(_, (at, status))| *at > bound_at && *status == 200)
+        .map(|(id, s)| (id, s.0))
+        .collect();
     let refused = sent.values().filter(|(at, status)| *at > bound_at && *status == 401).count();
     let last = late.iter().map(|(_, at)| *at - acked_at).fold(0.0, f64::max);
     let gateways: HashSet<usize> = late
