--- a/review/stand-ins-3/platform.rs
+++ b/review/stand-ins-3/platform.rs
@@ -429,6 +429,7 @@
         let (store, entry_address) = (store.clone(), address.clone());
         thread::spawn(move || {
             let Self { id, service, zone, slots, standing, .. } = self;
+            let born = unix_ms();
             for sequence in 0.. {
                 if standing.gone.load(Ordering::SeqCst) {
                     store.put("keyed.servers", &id, "");
@@ -439,7 +440,7 @@
                 let entry = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{entry_address}\",\"zone\":\"{zone}\",\
                      \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
-                     \"sequence\":{sequence}}}"
+                     \"born\":{born},\"sequence\":{sequence}}}"
                 );
                 store.put("keyed.servers", &id, &entry);
                 // A change of the state is written at once.
@@ -456,6 +457,13 @@
     }
 }
 
+/// Returns the Unix time in milliseconds.
+pub fn unix_ms() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
+}
+
 /// Sends a stream of events.
 fn stream_events(
     stream: &mut TcpStream,
