--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the scripts in review/11 to review/15 with the compiler alone; no dependency.
+# Builds the stand-ins of the scripts in review/11 to review/14 with the compiler alone; no dependency.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
