Keep entries of other writers from taking sound backends off the list

Cause, in two parts: a new entry removed all earlier ones at its address from the fleet, whatever its service, and the removal was final, since a record that says the same as the last one of its key was dropped before the fleet saw it.

Change: the fleet keeps all entries and derives which backends are listed. Entries of unnamed services are never listed and take nothing. Of backends at one address the latest is listed, and any other that goes on writing. Records that only confirm an entry are followed if its address is shared. Leaving is remembered, and told to other gateways, by id, start time, service and address, since another process's "draining" held for a sound backend too. Entries that are not used are logged with the reason, and counted.

--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet follows changes of the platform's list.
 
-use currantlink_core::fleet::{Announcement, Fleet, OUTAGE_GRACE_MS, Observation};
+use currantlink_core::fleet::{Announcement, Fleet, OUTAGE_GRACE_MS, Observation, Process};
 
 fn announcement(started_at_ms: u64, port: u16) -> Announcement {
     Announcement {
@@ -18,6 +18,10 @@
     Observation::Present(announcement(started_at_ms, port))
 }
 
+fn process(id: &str, started_at_ms: u64, port: u16) -> Process {
+    announcement(started_at_ms, port).process(id)
+}
+
 fn open(fleet: &Fleet) -> Vec<String> {
     fleet.available("llm").map(|(_, member)| member.id.clone()).collect()
 }
@@ -54,7 +58,7 @@
 fn leaving_and_listed_again() {
     let mut fleet = Fleet::default();
     fleet.observe("a", present(1, 1), 0);
-    assert!(fleet.mark_leaving("a", 1));
+    assert!(fleet.mark_leaving(process("a", 1, 1)));
     let draining = Announcement { draining: true, ..announcement(1, 2) };
     fleet.observe("b", Observation::Present(draining), 0);
     for (id, port) in [("a", 1), ("b", 2)] {
@@ -84,7 +88,7 @@
 #[test]
 fn told_before_listed() {
     let mut fleet = Fleet::default();
-    assert!(!fleet.mark_leaving("a", 1));
+    assert!(!fleet.mark_leaving(process("a", 1, 1)));
     fleet.observe("a", present(1, 1), 0);
     assert!(open(&fleet).is_empty());
 }
@@ -147,7 +151,7 @@
 fn leaving_by_peer() {
     let mut fleet = Fleet::default();
     fleet.observe("a", present(5, 1), 0);
-    assert!(!fleet.mark_leaving("a", 4), "the report concerns another process");
-    assert!(fleet.mark_leaving("a", 5));
+    assert!(!fleet.mark_leaving(process("a", 4, 1)), "the report concerns another process");
+    assert!(fleet.mark_leaving(process("a", 5, 1)));
     assert!(open(&fleet).is_empty());
 }
--- a/daemon/src/backend_follower.rs
+++ b/daemon/src/backend_follower.rs
@@ -9,8 +9,8 @@
 use currantlink_platform::store::KeyedRecord;
 use currantlink_platform::{directory, names};
 use currantlink_wire::peers::{BackendRecords, StoreRecord};
-use indexmap::IndexMap;
-use tokio::sync::mpsc;
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::clock::now_ms;
@@ -19,15 +19,21 @@
 /// Records that other gateways have read.
 pub type ReceivedRecords = mpsc::UnboundedReceiver<BackendRecords>;
 
-/// Follows the backends until a channel is closed.
-pub async fn follow(store: SocketAddr, updates: Updates, mut received: ReceivedRecords) {
+/// Follows the backends until a channel is closed. `services` are those that the configuration names.
+pub async fn follow(
+    store: SocketAddr,
+    updates: Updates,
+    mut received: ReceivedRecords,
+    services: watch::Receiver<IndexSet<String>>,
+) {
     let reader = TopicReader::new(store, names::BACKENDS_TOPIC);
     let mut follower = BackendFollower {
         reader,
-        entries: IndexMap::new(),
+        entries: Entries::default(),
         is_listed: false,
         contact: StoreContact::default(),
         updates,
+        services,
     };
     let mut read_at = Instant::now();
     loop {
@@ -47,12 +53,13 @@
 struct BackendFollower {
     reader: TopicReader,
     /// Last observation of each backend. Records that only confirm it are not passed on.
-    entries: IndexMap<String, Observation>,
+    entries: Entries,
     /// Whether the topic has been listed since the last read. A listing may contain records beyond its
     /// position, so what the next read only confirms may be new to other gateways.
     is_listed: bool,
     contact: StoreContact,
     updates: Updates,
+    services: watch::Receiver<IndexSet<String>>,
 }
 
 impl BackendFollower {
@@ -74,7 +81,7 @@
             TopicRead::All { records, .. } => {
                 let listing: Vec<(String, Observation)> =
                     records.iter().map(|(_, record)| decode(record)).collect();
-                self.entries = listing.iter().cloned().collect();
+                self.entries = Entries::from(listing.as_slice());
                 self.is_listed = true;
                 self.updates.send(Update::Backends(listing)).ok()?;
             }
@@ -127,16 +134,18 @@
         records: impl IntoIterator<Item = (u64, KeyedRecord)>,
     ) -> Option<Vec<StoreRecord>> {
         let (mut changes, mut changed) = (Vec::new(), Vec::new());
+        let services = self.services.borrow().clone();
         for (offset, record) in records {
             let (key, observation) = decode(&record);
-            // A backend that is cold still must be known to be so, even if its record says the same.
-            if self.entries.get(&key) == Some(&observation) && !observation.is_cold() {
+            // A backend that is cold still must be known to be so, even if its record says the same. Of
+            // backends at one address, the one that goes on writing is alive.
+            let is_confirmation = self.entries.get(&key) == Some(&observation);
+            let is_needed =
+                observation.is_cold() || self.entries.is_shared(&observation, &services);
+            if is_confirmation && !is_needed {
                 continue;
             }
-            match observation {
-                Observation::Dropped => drop(self.entries.shift_remove(&key)),
-                _ => drop(self.entries.insert(key.clone(), observation.clone())),
-            }
+            self.entries.apply(key.clone(), &observation);
             changes.push((key.clone(), observation));
             let value = record.value.unwrap_or_default();
             changed.push(StoreRecord { offset, key, value });
@@ -162,6 +171,58 @@
     }
 }
 
+/// The entries of the list, with the keys of those at each address.
+#[derive(Default)]
+struct Entries {
+    observations: IndexMap<String, Observation>,
+    keys: IndexMap<SocketAddr, IndexSet<String>>,
+}
+
+impl Entries {
+    fn get(&self, key: &str) -> Option<&Observation> {
+        self.observations.get(key)
+    }
+
+    fn apply(&mut self, key: String, observation: &Observation) {
+        let before = match observation {
+            Observation::Dropped => self.observations.shift_remove(&key),
+            _ => self.observations.insert(key.clone(), observation.clone()),
+        };
+        if let Some(address) = before.as_ref().and_then(Observation::address)
+            && let Some(keys) = self.keys.get_mut(&address)
+        {
+            keys.swap_remove(&key);
+            if keys.is_empty() {
+                self.keys.swap_remove(&address);
+            }
+        }
+        if let Some(address) = observation.address() {
+            self.keys.entry(address).or_default().insert(key);
+        }
+    }
+
+    /// Returns whether the address of an entry is that of several entries of these services.
+    fn is_shared(&self, observation: &Observation, services: &IndexSet<String>) -> bool {
+        let keys = observation.address().and_then(|address| self.keys.get(&address));
+        let Some(keys) = keys.filter(|keys| keys.len() > 1) else {
+            return false;
+        };
+        let entries = keys.iter().filter_map(|key| self.observations.get(key));
+        let services_there = entries.filter_map(Observation::service);
+        services_there.filter(|&service| services.contains(service)).count() > 1
+    }
+}
+
+impl From<&[(String, Observation)]> for Entries {
+    fn from(listing: &[(String, Observation)]) -> Self {
+        let mut entries = Self::default();
+        for (key, observation) in listing {
+            entries.apply(key.clone(), observation);
+        }
+        entries
+    }
+}
+
 fn decode(record: &KeyedRecord) -> (String, Observation) {
     (record.key.clone(), directory::decode(record))
 }
--- a/daemon/src/conversions.rs
+++ b/daemon/src/conversions.rs
@@ -1,10 +1,12 @@
-//! Conversions between link messages and the types of `currantlink-core`.
+//! Conversions between the messages of links and peers and the types of `currantlink-core`.
 
 use bytes::Bytes;
 use currantlink_core::attempt::AttemptEnd;
+use currantlink_core::fleet::{Fleet, Process};
 use currantlink_core::gate::{Refusal, Refused};
 use currantlink_core::ids::{CallKey, RequestId, RequestIdError, WorkspaceName};
 use currantlink_wire::link::{self, CallRef, RefusalReason, ToEntry, ToSide, to_entry, to_side};
+use currantlink_wire::peers::Leaving;
 
 /// Decodes the key of a call.
 ///
@@ -72,3 +74,27 @@
 pub fn to_side(incarnation: u64, body: to_side::Body) -> ToSide {
     ToSide { incarnation, body: Some(body) }
 }
+
+/// Encodes a backend that leaves.
+pub fn encode_leaving(process: &Process) -> Leaving {
+    let Process { id, started_at_ms, service, address } = process.clone();
+    Leaving { id, born_ms: started_at_ms, service, address: address.to_string() }
+}
+
+/// Decodes a backend that leaves. Returns `None` if it is not known which process of the id is meant.
+pub fn decode_leaving(message: &Leaving, fleet: &Fleet) -> Option<Process> {
+    let Leaving { id, born_ms, service, address } = message;
+    if address.is_empty() {
+        let member = fleet.by_id(id).and_then(|key| fleet.get(key))?;
+        return Some(member.process()).filter(|process| process.started_at_ms == *born_ms);
+    }
+    let address = address.parse().inspect_err(|error| {
+        log::warn!(backend = id.as_str(), error:% = error; "leaving backend has a malformed address");
+    });
+    Some(Process {
+        id: id.clone(),
+        started_at_ms: *born_ms,
+        service: service.clone(),
+        address: address.ok()?,
+    })
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -15,14 +15,14 @@
 use currantlink_core::cold::ReturnDetector;
 use currantlink_core::evacuation::{Announcement, Evacuations, Reading};
 use currantlink_core::even_load::backend_number;
-use currantlink_core::fleet::Fleet;
+use currantlink_core::fleet::{self, Fleet, FleetKey, Process};
 use currantlink_core::group_choice::GroupKey;
 use currantlink_core::least_loaded::LoadReport;
 use currantlink_core::share::ASSUMED_GATEWAYS;
 use currantlink_core::stop::{Closing, Draining, Stop};
 use currantlink_platform::config;
 use currantlink_wire::peers::{
-    BackendRecords, Crashes, Demand, Hello, Leaving, Load, Peer, PeerMessage, Role, peer_message,
+    BackendRecords, Crashes, Demand, Hello, Load, Peer, PeerMessage, Role, peer_message,
 };
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IteratorRandom as _;
@@ -34,6 +34,7 @@
 use crate::agent;
 use crate::backend_follower;
 use crate::clock::now_ms;
+use crate::conversions;
 use crate::crash_ledger::{Audience, CrashLedger};
 use crate::deployment_settings::{self, GatewaySettings};
 use crate::error::DaemonError;
@@ -87,7 +88,7 @@
     /// Admission levels of this gateway and the others, written by both.
     pub admission: Arc<SharedAdmission>,
     /// Backends that said in a response that they leave, from the traffic thread to the control thread.
-    pub leaving: mpsc::UnboundedSender<Leaving>,
+    pub leaving: mpsc::UnboundedSender<Process>,
 }
 
 /// Runs a gateway until a stop signal arrives.
@@ -251,7 +252,7 @@
 async fn control(
     settings: GatewaySettings,
     shared: SharedState,
-    mut leaving: mpsc::UnboundedReceiver<Leaving>,
+    mut leaving: mpsc::UnboundedReceiver<Process>,
 ) {
     let common = &settings.common;
     let own = Peer {
@@ -277,9 +278,11 @@
     let (received_records, records) = mpsc::unbounded_channel();
     let outdated = Arc::clone(&config_outdated);
     tokio::spawn(watcher::follow_operator(store, updates.clone(), outdated, counts));
-    tokio::spawn(backend_follower::follow(store, updates.clone(), records));
+    let (services, named) = watch::channel(IndexSet::new());
+    tokio::spawn(backend_follower::follow(store, updates.clone(), records, named));
     tokio::spawn(watcher::follow_peers(store, own, updates));
-    let readers = Readers { config_outdated, gateway_counts, received_records, notified_ms: None };
+    let readers =
+        Readers { config_outdated, gateway_counts, received_records, services, notified_ms: None };
     let trials = Arc::clone(&shared.trials);
     let mut control = Control::new(peers, shared, readers);
     let mut tick = tokio::time::interval(TICK_INTERVAL);
@@ -296,7 +299,7 @@
                     tokio::time::sleep(TICK_INTERVAL).await;
                 }
             },
-            Some(backend) = leaving.recv() => control.mark_leaving(&[backend]),
+            Some(process) = leaving.recv() => control.mark_leaving([process]),
             () = trials.due() => {
                 control.send_trials().await;
                 // Several requests at a backend that crashes are told of together.
@@ -317,6 +320,8 @@
     gateway_counts: watch::Sender<usize>,
     /// Records of backends that other gateways have read.
     received_records: mpsc::UnboundedSender<BackendRecords>,
+    /// Services that the configuration names.
+    services: watch::Sender<IndexSet<String>>,
     /// Time of the last notification, if there was one.
     notified_ms: Option<u64>,
 }
@@ -347,7 +352,7 @@
     snapshot: RoutingSnapshot,
     fleet: Fleet,
     evacuations: Evacuations,
-    leaving: VecDeque<(u64, Leaving)>,
+    leaving: VecDeque<(u64, Process)>,
     crashes_sent_at_ms: u64,
     /// Rank of this gateway among all gateways, by which they divide the room of a backend.
     division_rank: u64,
@@ -395,11 +400,8 @@
                 changed
             }
             Update::BackendChanges(changes) => {
-                let (mut changed, mut ids) = (false, Vec::new());
-                for (id, observation) in changes {
-                    changed |= self.fleet.observe(&id, observation, now);
-                    ids.push(id);
-                }
+                let ids: Vec<String> = changes.iter().map(|(id, _)| id.clone()).collect();
+                let changed = self.fleet.apply(changes, now);
                 self.record_listed(&ids);
                 changed
             }
@@ -441,6 +443,10 @@
             Ok(table) => {
                 log::info!(version = table.version(), before = known; "configuration applied");
                 self.shared.stated_limits.configure_cold(&table);
+                let services = table.pools().iter().map(|pool| pool.name.clone());
+                let services: IndexSet<String> = services.collect();
+                self.fleet.set_services(services.clone());
+                self.readers.services.send_replace(services);
                 self.snapshot.table = Some(Arc::new(table));
                 true
             }
@@ -491,7 +497,9 @@
                 if hello.config_version > self.config_version() {
                     self.readers.notify_outdated(now_ms());
                 }
-                self.mark_leaving(&hello.leaving);
+                let decode = |leaving| conversions::decode_leaving(leaving, &self.fleet);
+                let leaving: Vec<Process> = hello.leaving.iter().filter_map(decode).collect();
+                self.mark_leaving(leaving);
                 if evacuations::learn(&mut self.evacuations, hello.evacuations) {
                     self.publish();
                 }
@@ -513,10 +521,10 @@
         }
     }
 
-    fn mark_leaving(&mut self, backends: &[Leaving]) {
+    fn mark_leaving(&mut self, processes: impl IntoIterator<Item = Process>) {
         let mut changed = false;
-        for Leaving { id, born_ms } in backends {
-            changed |= self.fleet.mark_leaving(id, *born_ms);
+        for process in processes {
+            changed |= self.fleet.mark_leaving(process);
         }
         if changed {
             self.publish();
@@ -554,10 +562,10 @@
         };
         let before_ms = self.shared.load_reports.get(address).map(|before| before.received_at_ms);
         if self.returns.record_report(before_ms, received_at_ms) {
-            let mut listed = self.fleet.listed();
-            if let Some((key, _)) = listed.find(|(_, m)| m.announcement.address == address) {
+            let listed = self.fleet.listed();
+            listed.filter(|(_, m)| m.announcement.address == address).for_each(|(key, _)| {
                 self.shared.stated_limits.record_return(key);
-            }
+            });
         }
         self.shared.load_reports.record(address, report);
     }
@@ -595,7 +603,8 @@
 
     async fn send_hello(&mut self, demands: Vec<Demand>) {
         let config_version = self.config_version();
-        let leaving = self.leaving.iter().map(|(_, leaving)| leaving.clone()).collect();
+        let leaving = self.leaving.iter();
+        let leaving = leaving.map(|(_, process)| conversions::encode_leaving(process)).collect();
         let named_rates = || self.shared.stated_limits.announced(&self.fleet);
         let hello = || Hello {
             config_version,
@@ -666,6 +675,22 @@
         }
     }
 
+    /// Logs entries that have got off the list, or never were on it, although they are present.
+    fn log_unlisted(&self, before: &Fleet) {
+        let known: IndexSet<FleetKey> = before.unlisted().map(|(key, ..)| key).collect();
+        let mut count = 0;
+        for (key, member, reason) in self.fleet.unlisted() {
+            count += 1;
+            if known.contains(&key) {
+                continue;
+            }
+            let fleet::Announcement { service, address, started_at_ms, .. } = &member.announcement;
+            log::warn!(backend = member.id.as_str(), service = service.as_str(), address:% = address,
+                started_at_ms, reason:% = reason; "list entry is not used");
+        }
+        metrics::gauge!("currantlink_unlisted_backends").set(f64::from(count));
+    }
+
     fn publish(&mut self) {
         let before = Arc::clone(&self.snapshot.fleet);
         let now = now_ms();
@@ -673,10 +698,10 @@
             let known = before.by_id(&member.id).and_then(|key| before.get(key));
             if known.is_none_or(|known| !known.leaving) {
                 log::info!(backend = member.id.as_str(); "backend is leaving");
-                let (id, born_ms) = (member.id.clone(), member.announcement.started_at_ms);
-                self.leaving.push_back((now, Leaving { id, born_ms }));
+                self.leaving.push_back((now, member.process()));
             }
         }
+        self.log_unlisted(&before);
         // Before requests are placed by the new snapshot: the backends may be cold.
         let were_evacuated = Arc::clone(&self.snapshot.evacuations);
         for domain in were_evacuated.active().filter(|d| !self.evacuations.is_active(d.as_str())) {
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -10,7 +10,7 @@
 use currantlink_core::concurrency::ConcurrencyLimiter;
 use currantlink_core::deadlines::FirstDeadlines;
 use currantlink_core::durations::Durations;
-use currantlink_core::fleet::{FleetKey, Member};
+use currantlink_core::fleet::{FleetKey, Member, Process};
 use currantlink_core::group_choice::{GroupChooser, GroupKey};
 use currantlink_core::health::Health;
 use currantlink_core::ids::{Fingerprint, PromptPart, WorkspaceName};
@@ -24,7 +24,6 @@
 use currantlink_core::stream_pace::StreamPace;
 use currantlink_core::turns::UrgencyClass;
 use currantlink_platform::request::{self, RequestMetadata};
-use currantlink_wire::peers::Leaving;
 use http::{HeaderMap, Method, Request, Response, header};
 use hyper::body::Incoming;
 use indexmap::{IndexMap, IndexSet};
@@ -68,7 +67,7 @@
     pub(crate) trials: Arc<SharedTrials>,
     pub(crate) rates: Arc<SharedRates>,
     pub(crate) admission: Arc<SharedAdmission>,
-    leaving: mpsc::UnboundedSender<Leaving>,
+    leaving: mpsc::UnboundedSender<Process>,
     pub(crate) pool: ConnectionPool,
     pub(crate) callers: CallerBudget,
     pub(crate) observations: RefCell<Observations>,
@@ -566,8 +565,7 @@
         }
         log::info!(backend = member.id.as_str(); "backend says that it leaves");
         self.pool.close_idle(key);
-        let born_ms = member.announcement.started_at_ms;
-        if self.leaving.send(Leaving { id: member.id.clone(), born_ms }).is_err() {
+        if self.leaving.send(member.process()).is_err() {
             log::error!(backend = member.id.as_str();
                 "other gateways are not told that a backend leaves: the control thread has ended");
         }
--- a/daemon/tests/odd_entries.rs
+++ b/daemon/tests/odd_entries.rs
@@ -6,7 +6,9 @@
 
 use currantlink_platform::names;
 use currantlink_standins::backends::Backend;
-use currantlink_standins::deployment::{Deployment, IDEMPOTENT, Shape, wait_until};
+use currantlink_standins::deployment::{
+    self, ClientRequest, Deployment, IDEMPOTENT, Shape, wait_until,
+};
 
 fn put_odd_entries(deployment: &Deployment) {
     let deep = format!("{}1{}", "[".repeat(50_000), "]".repeat(50_000));
@@ -63,3 +65,131 @@
     deployment.wait_until_ready().await;
     reaches(&deployment, &spare).await;
 }
+
+/// An entry of another writer that names the address of a sound backend or its id.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    has_own_id: bool,
+    has_own_address: bool,
+    service: &'static str,
+    born_ms: u64,
+    state: &'static str,
+}
+
+const CLAIMS: [Claim; 9] = {
+    let of_address = Claim {
+        has_own_id: false,
+        has_own_address: true,
+        service: "host-metrics",
+        born_ms: LATER_MS,
+        state: "ready",
+    };
+    let of_id = Claim { has_own_id: true, ..of_address };
+    [
+        of_address,
+        Claim { service: "model", ..of_address },
+        Claim { service: "plain", ..of_address },
+        Claim { service: "plain", born_ms: 0, ..of_address },
+        Claim { service: "plain", state: "draining", ..of_address },
+        of_id,
+        Claim { born_ms: BORN_MS, state: "draining", ..of_id },
+        Claim { service: "plain", has_own_address: false, ..of_id },
+        Claim {
+            service: "plain",
+            has_own_address: false,
+            born_ms: BORN_MS,
+            state: "draining",
+            ..of_id
+        },
+    ]
+};
+/// Start time of the sound backends in their records.
+const BORN_MS: u64 = 1;
+const LATER_MS: u64 = 1_000;
+
+impl Claim {
+    /// Returns whether the entry names no backend and is not under the id of one.
+    fn is_harmless(self) -> bool {
+        !self.has_own_id && !["plain", "model"].contains(&self.service)
+    }
+
+    fn put(self, deployment: &Deployment, number: usize) {
+        let Claim { has_own_id, has_own_address, service, born_ms, state } = self;
+        let id = if has_own_id { format!("plain-{number}") } else { format!("other-{number}") };
+        let address = match has_own_address {
+            true => deployment.plain_addresses[number].to_string(),
+            false => "127.0.0.1:9".to_owned(),
+        };
+        let entry = format!(
+            r#"{{"service":"{service}","address":"{address}","zone":"a","state":"{state}","slots":4,
+                 "born":{born_ms}}}"#
+        );
+        deployment.records.put(names::BACKENDS_TOPIC, &id, entry.as_bytes());
+    }
+}
+
+/// Waits until each gateway sends requests to each of the backends.
+async fn reaches_all(deployment: &Deployment) {
+    for gateway in &deployment.gateways {
+        for backend in &deployment.plain_backends {
+            let reached = || async {
+                let before = backend.arrivals();
+                let request = ClientRequest::new("GET", IDEMPOTENT, "r-1");
+                deployment::send_request(gateway.callers, &request).await.code() == 200
+                    && backend.arrivals() > before
+            };
+            wait_until(reached).await;
+        }
+    }
+}
+
+/// Writes the records of the backends again, as they do at intervals.
+fn write_again(deployment: &Deployment) {
+    for (number, &address) in deployment.plain_addresses.iter().enumerate() {
+        deployment.register(&format!("plain-{number}"), "plain", address, "ready");
+    }
+}
+
+/// Guards against entries of another writer that take sound backends from the gateways for good.
+#[tokio::test]
+async fn claimed_backends() {
+    for claim in CLAIMS {
+        println!("{claim:?}");
+        let shape = Shape { gateways: 2, plain_backends: 2, ..Shape::default() };
+        let (mut deployment, _directory) = harness::start_serving(shape).await;
+        (0..2).for_each(|number| claim.put(&deployment, number));
+        // The entries have been followed once a later one is.
+        let (spare, _) = harness::add_spare(&deployment).await;
+        reaches(&deployment, &spare).await;
+        deployment.unregister("spare");
+        if !claim.is_harmless() {
+            write_again(&deployment);
+        }
+        reaches_all(&deployment).await;
+        let process = &mut deployment.gateways[0].process;
+        process.kill();
+        process.start().unwrap();
+        deployment.wait_until_ready().await;
+        if !claim.is_harmless() {
+            write_again(&deployment);
+        }
+        reaches_all(&deployment).await;
+    }
+}
+
+/// Guards against a backend that stays lost after another writer has removed or overwritten its entry.
+#[tokio::test]
+async fn overwritten_entries() {
+    let shape = Shape { gateways: 2, plain_backends: 2, ..Shape::default() };
+    let (deployment, _directory) = harness::start_serving(shape).await;
+    for value in [b"".as_slice(), b"\xff\xfe", b"{}", br#"{"state":"asleep"}"#] {
+        for id in ["plain-0", "plain-1"] {
+            deployment.records.put(names::BACKENDS_TOPIC, id, value);
+        }
+        let (spare, _) = harness::add_spare(&deployment).await;
+        reaches(&deployment, &spare).await;
+        deployment.unregister("spare");
+        write_again(&deployment);
+        reaches_all(&deployment).await;
+    }
+}
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -192,6 +192,8 @@
     pub records: RecordStore,
     /// Backends of the plain service.
     pub plain_backends: Vec<Backend>,
+    /// Addresses of the backends of the plain service.
+    pub plain_addresses: Vec<SocketAddr>,
     /// Backends of the model group, one per rank.
     pub model_backends: Vec<Backend>,
     /// Model group, if the deployment has ranks.
@@ -220,6 +222,7 @@
         let mut deployment = Self {
             records,
             plain_backends: Vec::new(),
+            plain_addresses: Vec::new(),
             model_backends: Vec::new(),
             group: (shape.ranks > 0).then(|| Lockstep::start(shape.ranks)),
             gateways: Vec::new(),
@@ -236,6 +239,7 @@
             let address = backend.serve(LOOPBACK).await?;
             deployment.keep_registered(&backend, "plain", address, shape.zone(index));
             deployment.plain_backends.push(backend);
+            deployment.plain_addresses.push(address);
         }
         for rank in 0..shape.ranks as usize {
             deployment.add_model_rank(rank, shape).await?;
