Fail an answer without a length if a write was told of the reset

Cause: the system reports a socket's error once. If the write that runs beside the read is told of the reset, the read returns what has arrived and then an orderly end, with which an answer without a length is complete. The error of the write was dropped.

Change: the connection keeps the error of the write, and a read that finds the end of the connection returns it. The request is kept as owned bytes until it is sent, and freed then.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -235,12 +235,13 @@
             return AttemptEnd::NoResponse(Outcome::NotConnected);
         }
         let head = request::encode_head(&self.backend_request(call, member, relay, last_event_id));
-        let body = call.body.as_deref().unwrap_or_default();
+        let head = Bytes::from(head);
+        let body = call.body.clone().unwrap_or_default();
         self.log_suspect(call, &member.id);
         relay.record_dispatch();
         call.progress.record_dispatch(key);
         let sent_at_ms = now_ms();
-        let reading = Self::read_own_response(call, &mut upstream, is_reused, &head, body);
+        let reading = Self::read_own_response(call, &mut upstream, is_reused, head, body);
         let reading = tokio::time::timeout_at(call.deadline, reading);
         let read = match self.while_awaited(call, key, reading).await {
             Waited::Silent => {
@@ -410,8 +411,8 @@
         call: &Call,
         upstream: &mut Upstream,
         is_reused: bool,
-        head: &[u8],
-        body: &[u8],
+        head: Bytes,
+        body: Bytes,
     ) -> Result<(Head, ResponseMetadata), UpstreamError> {
         let mut response = upstream.exchange(head, body).await?;
         for _ in 0..MAX_STRAY_RESPONSES {
--- a/daemon/src/rank_client.rs
+++ b/daemon/src/rank_client.rs
@@ -96,12 +96,13 @@
     /// Fails if no response determines the outcome. The order may still take effect in that case.
     pub async fn send_order(&mut self, order: &Order) -> Result<OrderOutcome, RankError> {
         let body = engine::encode_order(order)?;
-        let (status, _) = self.call("POST", names::ORDER_PATH, &body, ORDER_TIMEOUT).await?;
+        let body = Bytes::from(body);
+        let (status, _) = self.call("POST", names::ORDER_PATH, body, ORDER_TIMEOUT).await?;
         Ok(OrderOutcome::try_from(status)?)
     }
 
     async fn get(&mut self, path: &str) -> Result<Bytes, RankError> {
-        match self.call("GET", path, &[], READ_TIMEOUT).await? {
+        match self.call("GET", path, Bytes::new(), READ_TIMEOUT).await? {
             (StatusCode::OK, content) => Ok(content),
             (status, _) => Err(RankError::Status(status.as_u16())),
         }
@@ -111,7 +112,7 @@
         &mut self,
         method: &str,
         path: &str,
-        body: &[u8],
+        body: Bytes,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), RankError> {
         let address = self.address;
@@ -125,7 +126,7 @@
              content-length: {len}\r\n\r\n"
         );
         let exchange = async {
-            let response = upstream.exchange(head.as_bytes(), body).await?;
+            let response = upstream.exchange(Bytes::from(head), body).await?;
             let mut framing = response.framing;
             let mut content = BytesMut::new();
             while let Some(chunk) = upstream.read_body(&mut framing).await? {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -8,11 +8,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
 use crate::sockets;
@@ -76,12 +78,28 @@
     Done,
 }
 
+/// How far the last request of a connection has been sent.
+#[derive(Debug)]
+enum Sending {
+    /// Completely.
+    Sent,
+    /// This part has not been sent yet.
+    Unsent(Chain<Bytes, Bytes>),
+    /// The rest is not sent, since the response has come before it.
+    Stopped,
+    /// The rest could not be sent.
+    ///
+    /// The system reports the error of a socket once. If a write is told of a reset, reads that follow
+    /// return the end of the connection, as if it were orderly.
+    Failed(io::Error),
+}
+
 /// An HTTP/1.1 connection to a backend.
 #[derive(Debug)]
 pub struct Upstream {
     stream: TcpStream,
     buffer: BytesMut,
-    is_request_sent: bool,
+    sending: Sending,
     /// Number of informational responses to the current request.
     informational: u32,
     /// Whether a request has been started and its response has not ended.
@@ -112,7 +130,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
-            is_request_sent: true,
+            sending: Sending::Sent,
             informational: 0,
             is_in_flight: false,
         })
@@ -126,7 +144,7 @@
         let mut probe = [0; 1];
         let read = self.stream.try_read(&mut probe);
         let is_quiet = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
-        self.is_request_sent && self.buffer.is_empty() && is_quiet
+        matches!(self.sending, Sending::Sent) && self.buffer.is_empty() && is_quiet
     }
 
     /// Waits until the backend closes an idle connection or sends something, no longer than `until`.
@@ -137,43 +155,24 @@
     }
 
     /// Sends a request and reads the response head, which may arrive before the request is fully
-    /// sent.
+    /// sent. The rest is not sent then.
     ///
     /// # Errors
     ///
     /// Fails if the connection breaks or the response is malformed. The backend may have received
     /// the request then.
-    pub async fn exchange(&mut self, head: &[u8], body: &[u8]) -> Result<Head, UpstreamError> {
-        self.is_request_sent = false;
+    pub async fn exchange(&mut self, head: Bytes, body: Bytes) -> Result<Head, UpstreamError> {
+        self.sending = Sending::Unsent(match head.len() + body.len() <= READ_BUFFER_BYTES {
+            true => Bytes::from([head, body].concat()).chain(Bytes::new()),
+            false => head.chain(body),
+        });
         self.informational = 0;
         self.is_in_flight = true;
-        let (mut read, mut write) = self.stream.split();
-        let sending = async {
-            if head.len() + body.len() <= READ_BUFFER_BYTES {
-                write.write_all(&[head, body].concat()).await
-            } else {
-                write.write_all(head).await?;
-                write.write_all(body).await
-            }
-        };
-        tokio::pin!(sending);
-        let mut send_result = None;
-        loop {
-            if let Some(response) = parse_final_head(&mut self.buffer, &mut self.informational)? {
-                self.is_request_sent = matches!(send_result, Some(Ok(())));
-                return Ok(response);
-            }
-            self.buffer.reserve(READ_BUFFER_BYTES);
-            tokio::select! {
-                biased;
-                sent = &mut sending, if send_result.is_none() => send_result = Some(sent),
-                got = read.read_buf(&mut self.buffer) => match got {
-                    Ok(0) => return Err(UpstreamError::Closed),
-                    Ok(_) => {}
-                    Err(error) => return Err(error.into()),
-                },
-            }
+        let response = self.read_head().await?;
+        if let Sending::Unsent(_) = self.sending {
+            self.sending = Sending::Stopped;
         }
+        Ok(response)
     }
 
     /// Reads the next response head, after a response to another request.
@@ -186,9 +185,7 @@
             if let Some(response) = parse_final_head(&mut self.buffer, &mut self.informational)? {
                 return Ok(response);
             }
-            if self.fill().await? == 0 {
-                return Err(UpstreamError::Closed);
-            }
+            self.fill_or_closed().await?;
         }
     }
 
@@ -250,9 +247,37 @@
         }
     }
 
+    /// Receives bytes, and meanwhile sends the rest of the request. Returns 0 at an orderly end of the
+    /// connection.
     async fn fill(&mut self) -> Result<usize, UpstreamError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        Ok(self.stream.read_buf(&mut self.buffer).await?)
+        let (mut read, mut write) = self.stream.split();
+        loop {
+            let sending = async {
+                match &mut self.sending {
+                    Sending::Unsent(rest) => write_some(&mut write, rest).await,
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                sent = sending => match sent {
+                    Ok(true) => self.sending = Sending::Sent,
+                    Ok(false) => {}
+                    Err(error) => self.sending = Sending::Failed(error),
+                },
+                received = read.read_buf(&mut self.buffer) => {
+                    let received = received?;
+                    return match std::mem::replace(&mut self.sending, Sending::Stopped) {
+                        Sending::Failed(error) if received == 0 => Err(error.into()),
+                        sending => {
+                            self.sending = sending;
+                            Ok(received)
+                        }
+                    };
+                }
+            }
+        }
     }
 
     /// Parses the chunk size line before the next chunk. Returns `None` if more bytes are needed.
@@ -291,6 +316,14 @@
     }
 }
 
+/// Sends a part of `rest` and returns whether nothing is left.
+async fn write_some(write: &mut WriteHalf<'_>, rest: &mut Chain<Bytes, Bytes>) -> io::Result<bool> {
+    match write.write_buf(rest).await? {
+        0 => Err(io::ErrorKind::WriteZero.into()),
+        _ => Ok(!rest.has_remaining()),
+    }
+}
+
 fn parse_final_head(
     buffer: &mut BytesMut,
     informational: &mut u32,
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -5,6 +5,7 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
+use bytes::Bytes;
 use currantlink_core::fleet::FleetKey;
 use currantlink_daemon::pool::ConnectionPool;
 use currantlink_daemon::upstream::{Framing, Upstream, UpstreamError};
@@ -14,6 +15,7 @@
 
 const LIMIT: Duration = Duration::from_secs(5);
 const READ_BYTES: usize = 16 << 10;
+const GET: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
 
 async fn pair() -> (Upstream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -33,7 +35,7 @@
             tokio::task::yield_now().await;
         }
     });
-    let head = upstream.exchange(b"GET / HTTP/1.1\r\n\r\n", b"").await?;
+    let head = upstream.exchange(Bytes::from_static(GET), Bytes::new()).await?;
     let (mut framing, mut body) = (head.framing, Vec::new());
     while let Some(chunk) = upstream.read_body(&mut framing).await? {
         body.extend_from_slice(&chunk);
@@ -89,7 +91,8 @@
 #[tokio::test]
 async fn given_up() {
     let (mut upstream, mut backend) = pair().await;
-    let exchange = upstream.exchange(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n", b"body");
+    let head = Bytes::from_static(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n");
+    let exchange = upstream.exchange(head, Bytes::from_static(b"body"));
     assert!(tokio::time::timeout(Duration::from_millis(50), exchange).await.is_err());
     drop(upstream);
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -107,7 +110,7 @@
     for _ in 0..3 {
         let response = b"HTTP/1.1 204 No Content\r\n\r\n";
         backend.write_all(response).await.unwrap();
-        let mut head = upstream.exchange(b"GET / HTTP/1.1\r\n\r\n", b"").await.unwrap();
+        let mut head = upstream.exchange(Bytes::from_static(GET), Bytes::new()).await.unwrap();
         assert_eq!(head.framing, Framing::Done);
         assert!(upstream.read_body(&mut head.framing).await.unwrap().is_none());
         assert!(upstream.is_reusable());
@@ -127,7 +130,7 @@
         std::io::Result::Ok(())
     });
     let reading = async {
-        let head = upstream.exchange(b"GET / HTTP/1.1\r\n\r\n", b"").await?;
+        let head = upstream.exchange(Bytes::from_static(GET), Bytes::new()).await?;
         let mut framing = head.framing;
         while upstream.read_body(&mut framing).await?.is_some() {}
         Ok(())
@@ -161,3 +164,116 @@
     in_flight.put_idle(upstream, KeepAlive::Timeout(Duration::from_secs(u64::MAX)));
     assert!(in_flight.take_idle().is_some(), "the connection is not reused");
 }
+
+/// How a backend ends its connection.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// It sends no more.
+    Orderly,
+    Reset,
+}
+
+/// What of an answer has been read when the backend ends its connection.
+#[derive(Clone, Copy, Debug)]
+enum ReadBefore {
+    Nothing,
+    Head,
+    /// The head and the body as far as it was sent.
+    All,
+}
+
+/// More than the buffers of a connection hold.
+const LARGE_BODY_BYTES: usize = 16 << 20;
+
+/// Reads an answer whose backend sends `sent` and ends its connection. Returns the body if it is taken for
+/// complete.
+async fn read_ended(
+    sent: &'static [u8],
+    body_bytes: usize,
+    read_before: ReadBefore,
+    end: End,
+) -> Option<Vec<u8>> {
+    let (mut upstream, backend) = pair().await;
+    let body = Bytes::from(vec![b'x'; body_bytes]);
+    let head = format!("POST / HTTP/1.1\r\nContent-Length: {body_bytes}\r\n\r\n");
+    let end_connection = |backend: TcpStream| match end {
+        End::Orderly => {
+            socket2::SockRef::from(&backend).shutdown(std::net::Shutdown::Write).unwrap();
+            Some(backend)
+        }
+        End::Reset => {
+            backend.set_zero_linger().unwrap();
+            drop(backend);
+            None
+        }
+    };
+    let mut backend = Some(backend);
+    let mut exchange = Box::pin(upstream.exchange(Bytes::from(head), body));
+    // The request is sent as far as it is read, which a large body is not.
+    while futures::poll!(&mut exchange).is_pending() {
+        let mut received = vec![0; READ_BYTES];
+        let reading = backend.as_mut().unwrap().read(&mut received);
+        let is_large = body_bytes == LARGE_BODY_BYTES;
+        if is_large || tokio::time::timeout(Duration::from_millis(20), reading).await.is_err() {
+            break;
+        }
+    }
+    // The next lines do not let the exchange go on, so it finds the bytes and the end together.
+    let stream = backend.take().unwrap();
+    assert_eq!(stream.try_write(sent).unwrap(), sent.len());
+    backend = match read_before {
+        ReadBefore::Nothing => end_connection(stream),
+        ReadBefore::Head | ReadBefore::All => Some(stream),
+    };
+    let mut head = exchange.await.ok()?;
+    let mut content = Vec::new();
+    if matches!(read_before, ReadBefore::All)
+        && let Some(chunk) = upstream.read_body(&mut head.framing).await.ok()?
+    {
+        content.extend_from_slice(&chunk);
+    }
+    if !matches!(read_before, ReadBefore::Nothing) {
+        backend = end_connection(backend.take().unwrap());
+    }
+    while let Some(chunk) = upstream.read_body(&mut head.framing).await.ok()? {
+        content.extend_from_slice(&chunk);
+    }
+    drop(backend);
+    Some(content)
+}
+
+/// Guards against a part of an answer that is taken for all of it: the system reports a reset once, and a
+/// write that has been told of it leaves an orderly end to the reads that follow.
+#[tokio::test]
+async fn ended_answers() {
+    // A body, and whether it is complete by itself, or if the connection ends in order.
+    let answers: [(&'static [u8], bool, bool); 6] = [
+        (b"HTTP/1.1 200 OK\r\n\r\nhello", false, true),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello", false, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello", false, false),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            true,
+            true,
+        ),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false, false),
+    ];
+    for (sent, is_complete, is_complete_in_order) in answers {
+        for body_bytes in [0, 100, LARGE_BODY_BYTES] {
+            for read_before in [ReadBefore::Nothing, ReadBefore::Head, ReadBefore::All] {
+                for end in [End::Orderly, End::Reset] {
+                    let body = read_ended(sent, body_bytes, read_before, end).await;
+                    let expected = match end {
+                        End::Orderly => is_complete_in_order,
+                        End::Reset => is_complete,
+                    };
+                    let case =
+                        format!("{} {body_bytes} {read_before:?} {end:?}", sent.escape_ascii());
+                    assert_eq!(body.is_some(), expected, "{case}: {body:?}");
+                    assert!(body.is_none_or(|body| body == b"hello"), "{case}");
+                }
+            }
+        }
+    }
+}
