Send a request on while a response to another one is skipped

A caller with a large body waited for its deadline (504) if a response to another request came first on the connection to the backend.

Cause: the rest of a request was dropped at any response head, before it was known whose response it is. The backend went on waiting for that rest.

Change: the connection sends on with each read until the response to the request itself has come (Upstream::stop_sending).

Evidence: early_answers.rs every_act with StrayFirst failed on for a body of 12 MiB ("timeout") and passes now; the backend reads the whole body.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -425,6 +425,7 @@
                 None => metadata.not_run && !is_reused,
             };
             if is_own {
+                upstream.stop_sending();
                 return Ok((response, metadata));
             }
             if response.framing == Framing::UntilClose || metadata.attempt_id.is_none() {
--- a/daemon/src/rank_client.rs
+++ b/daemon/src/rank_client.rs
@@ -127,6 +127,7 @@
         );
         let exchange = async {
             let response = upstream.exchange(Bytes::from(head), body).await?;
+            upstream.stop_sending();
             let mut framing = response.framing;
             let mut content = BytesMut::new();
             while let Some(chunk) = upstream.read_body(&mut framing).await? {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -154,8 +154,8 @@
         tokio::time::timeout_at(until, changed).await.is_err()
     }
 
-    /// Sends a request and reads the response head, which may arrive before the request is fully
-    /// sent. The rest is not sent then.
+    /// Begins to send a request, and reads the next response head, which may arrive before the request
+    /// is fully sent. The rest is sent while more is read, until [`Upstream::stop_sending`] is called.
     ///
     /// # Errors
     ///
@@ -168,14 +168,17 @@
         });
         self.informational = 0;
         self.is_in_flight = true;
-        let response = self.read_head().await?;
+        self.read_head().await
+    }
+
+    /// Sends no more of the request: the response is that to the request, and does not wait for the rest.
+    pub fn stop_sending(&mut self) {
         if let Sending::Unsent(_) = self.sending {
             self.sending = Sending::Stopped;
         }
-        Ok(response)
     }
 
-    /// Reads the next response head, after a response to another request.
+    /// Reads the next response head.
     ///
     /// # Errors
     ///
--- a/daemon/tests/early_answers.rs
+++ b/daemon/tests/early_answers.rs
@@ -40,17 +40,20 @@
     WholeThenShutdown,
     /// Sends an answer with a length, and reads the rest of the request later.
     WholeWithLength,
+    /// Sends an answer to another request, reads the rest of the request, and sends its answer.
+    StrayFirst,
     /// Reads the request, and sends an answer without a length.
     ReadThenWhole,
 }
 
 impl Act {
     /// The acts after which the backend goes on.
-    const LASTING: [Act; 5] = [
+    const LASTING: [Act; 6] = [
         Act::PartThenReset,
         Act::PartPauseReset,
         Act::WholeThenShutdown,
         Act::WholeWithLength,
+        Act::StrayFirst,
         Act::ReadThenWhole,
     ];
 
@@ -163,6 +166,11 @@
                 let _ = self.stream.take(rest).read_to_end(&mut received).await;
                 backend.later.lock().unwrap().extend(received);
             }
+            Act::StrayFirst => {
+                self.send("another", Some(5), "stray").await;
+                self.read_rest().await;
+                self.send(&id, Some(WHOLE.len()), WHOLE).await;
+            }
             Act::ReadThenWhole => {
                 self.read_rest().await;
                 self.send(&id, None, WHOLE).await;
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -226,6 +226,7 @@
         ReadBefore::Head | ReadBefore::All => Some(stream),
     };
     let mut head = exchange.await.ok()?;
+    upstream.stop_sending();
     let mut content = Vec::new();
     if matches!(read_before, ReadBefore::All)
         && let Some(chunk) = upstream.read_body(&mut head.framing).await.ok()?
