Fail an answer without a length if its backend has ended

A caller got a part of an answer as a complete one if the backend's process was killed after it had read the whole request.

Cause: such a process closes its connections in order, and an answer without a length ends with its connection.

Change: when such an answer has ended, the gateway connects to its backend, as it does after a lost answer, and fails the answer if the connection is refused; streams are resumed.

Evidence: early_answers.rs ended_process failed on with a 200 that has a part of the answer, and passes now.

--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -94,10 +94,19 @@
             };
             let key = response.key;
             let head = response.head.clone();
-            match self.read_response_body(call, response).await {
+            let read = match self.read_response_body(call, response).await {
                 Ok(body) => {
+                    let ended = self.check_end(call, key, head.framing).await;
+                    ended.map(|is_sound| (body, is_sound))
+                }
+                Err(error) => Err(error),
+            };
+            match read {
+                Ok((body, is_sound)) => {
                     self.record_success(call, key, head.status);
-                    self.record_answered(call, key, head.framing).await;
+                    if is_sound {
+                        self.record_sound(call);
+                    }
                     return Ok(caller_response(&head, ResponseBody::from_bytes(body)));
                 }
                 Err(error) => {
--- a/daemon/src/crashes.rs
+++ b/daemon/src/crashes.rs
@@ -163,15 +163,27 @@
         }
     }
 
-    /// Records that a backend has answered a request. The end of an answer without a length may be
-    /// that of the backend, which matters only if the request is a suspect.
-    pub(crate) async fn record_answered(&self, call: &Call, key: FleetKey, framing: Framing) {
-        let is_certain = framing != Framing::UntilClose;
-        if is_certain
-            || self.crashes.is_suspect(call.keys())
-                && self.check_backend(call, key).await == BackendState::Alive
-        {
-            self.record_sound(call);
+    /// Checks that an answer has ended, and not the process of its backend: an answer without a length
+    /// ends with its connection, as do the connections of a process that is killed.
+    ///
+    /// Returns whether the answer shows that its request does not crash the backend.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended, so that the answer may not be complete.
+    pub(crate) async fn check_end(
+        &self,
+        call: &Call,
+        key: FleetKey,
+        framing: Framing,
+    ) -> Result<bool, UpstreamError> {
+        if framing != Framing::UntilClose {
+            return Ok(true);
+        }
+        match self.check_backend(call, key).await {
+            BackendState::Crashed => Err(UpstreamError::Closed),
+            BackendState::Alive => Ok(self.crashes.is_suspect(call.keys())),
+            BackendState::Unknown => Ok(false),
         }
     }
 
--- a/daemon/src/stream_relay.rs
+++ b/daemon/src/stream_relay.rs
@@ -146,8 +146,15 @@
                     return Some(Ok(events));
                 }
                 StreamRead::End => {
-                    self.complete().await;
-                    return None;
+                    let framing = backend_stream.response.head.framing;
+                    match self.gateway.check_end(&self.call, key, framing).await {
+                        Ok(is_sound) => {
+                            self.complete(is_sound);
+                            return None;
+                        }
+                        Err(error) if self.resume_broken(key, &error).await => {}
+                        Err(_) => return self.truncate("broken"),
+                    }
                 }
                 StreamRead::Timeout => return self.truncate("timeout"),
                 StreamRead::NoEvent => return self.truncate("no-event"),
@@ -161,12 +168,7 @@
                     }
                 }
                 StreamRead::Broken(error) => {
-                    self.gateway.record_failure(&self.call, key, &error);
-                    let (sent_at_ms, answer) =
-                        (backend_stream.response.sent_at_ms, backend_stream.answer);
-                    let state = self.gateway.check_lost(&self.call, key, &error).await;
-                    self.gateway.record_broken(&self.call, key, state, sent_at_ms, answer);
-                    if !self.resume(state.into()).await {
+                    if !self.resume_broken(key, &error).await {
                         return self.truncate("broken");
                     }
                 }
@@ -174,6 +176,16 @@
         }
     }
 
+    /// Resumes the stream after its connection has failed. Returns whether it resumed.
+    async fn resume_broken(&mut self, key: FleetKey, error: &UpstreamError) -> bool {
+        self.gateway.record_failure(&self.call, key, error);
+        let state = self.gateway.check_lost(&self.call, key, error).await;
+        if let Some(BackendStream { response, answer, .. }) = &self.backend_stream {
+            self.gateway.record_broken(&self.call, key, state, response.sent_at_ms, *answer);
+        }
+        self.resume(state.into()).await
+    }
+
     /// Resumes the stream at another backend after the last complete event. Returns whether it
     /// resumed.
     async fn resume(&mut self, outcome: Outcome) -> bool {
@@ -216,7 +228,7 @@
         }
     }
 
-    async fn complete(&mut self) {
+    fn complete(&mut self, is_sound: bool) {
         let Some(backend_stream) = self.backend_stream.take() else {
             return;
         };
@@ -232,9 +244,10 @@
                 running = pauses.running as u64; "stream ended");
             self.gateway.record_stream(&self.call, pauses);
         }
-        let BackendResponse { head, metadata, upstream, in_flight, key, .. } =
-            *backend_stream.response;
-        self.gateway.record_answered(&self.call, key, head.framing).await;
+        if is_sound {
+            self.gateway.record_sound(&self.call);
+        }
+        let BackendResponse { head, metadata, upstream, in_flight, .. } = *backend_stream.response;
         self.gateway.keep_connection(in_flight, upstream, &head, metadata);
     }
 
--- a/daemon/tests/early_answers.rs
+++ b/daemon/tests/early_answers.rs
@@ -20,7 +20,7 @@
 use currantlink_wire::link::{Frame, Submit, frame, to_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 /// More than the buffers of a connection hold, so that the rest is sent only as it is read.
@@ -44,6 +44,8 @@
     StrayFirst,
     /// Reads the request, and sends an answer without a length.
     ReadThenWhole,
+    /// Reads the request, sends a part of an answer without a length, and its process ends.
+    PartThenExit,
 }
 
 impl Act {
@@ -58,7 +60,7 @@
     ];
 
     fn is_whole(self) -> bool {
-        !matches!(self, Act::PartThenReset | Act::PartPauseReset)
+        !matches!(self, Act::PartThenReset | Act::PartPauseReset | Act::PartThenExit)
     }
 }
 
@@ -69,6 +71,9 @@
     act: Arc<Mutex<Act>>,
     /// Bytes that followed an early answer where the rest of the request is due.
     later: Arc<Mutex<Vec<u8>>>,
+    /// Whether the process is to end, and then whether it no longer listens.
+    exit: watch::Sender<bool>,
+    exited: watch::Sender<bool>,
 }
 
 impl ActingBackend {
@@ -78,10 +83,16 @@
             address: listener.local_addr().unwrap(),
             act: Arc::new(Mutex::new(Act::ReadThenWhole)),
             later: Arc::default(),
+            exit: watch::Sender::new(false),
+            exited: watch::Sender::new(false),
         };
-        let own = backend.clone();
+        let (own, mut exit) = (backend.clone(), backend.exit.subscribe());
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap().0,
+                    _ = exit.wait_for(|&exit| exit) => break,
+                };
                 let own = own.clone();
                 tokio::spawn(async move {
                     if let Some(connection) = Connection::read_request(stream).await {
@@ -90,9 +101,17 @@
                     }
                 });
             }
+            drop(listener);
+            own.exited.send_replace(true);
         });
         backend
     }
+
+    /// Ends the process as far as others see it, but for its connections.
+    async fn stop_listening(&self) {
+        self.exit.send_replace(true);
+        self.exited.subscribe().wait_for(|&exited| exited).await.unwrap();
+    }
 }
 
 struct Connection {
@@ -171,6 +190,11 @@
                 self.read_rest().await;
                 self.send(&id, Some(WHOLE.len()), WHOLE).await;
             }
+            Act::PartThenExit => {
+                self.read_rest().await;
+                self.send(&id, None, PART).await;
+                backend.stop_listening().await;
+            }
             Act::ReadThenWhole => {
                 self.read_rest().await;
                 self.send(&id, None, WHOLE).await;
@@ -241,6 +265,27 @@
     }
 }
 
+/// Guards against a part of an answer that looks complete because the process of its backend has ended
+/// after it had read the whole request.
+#[tokio::test]
+async fn ended_process() {
+    let (deployment, _directory) = start().await;
+    for path in [ONCE, IDEMPOTENT] {
+        for body_bytes in [SMALL_BODY_BYTES, LARGE_BODY_BYTES] {
+            let backend = ActingBackend::start().await;
+            register(&deployment, &backend).await;
+            *backend.act.lock().unwrap() = Act::PartThenExit;
+            let id = format!("r-{}-{body_bytes}", path.len());
+            let response = upload(&deployment, path, &id, body_bytes).await;
+            assert_eq!(response.code(), 502, "{path}, {body_bytes}: {}", response.text());
+            deployment.unregister("acting");
+            let is_gone =
+                || async { upload(&deployment, IDEMPOTENT, "gone", 0).await.code() == 503 };
+            wait_until(is_gone).await;
+        }
+    }
+}
+
 /// Runs a call of a side at a backend and returns whether its response is recorded as complete.
 async fn is_complete_at_side(backend: &ActingBackend, body_bytes: usize) -> bool {
     let uri = format!("http://{}", backend.address).parse().unwrap();
