Keep cut-off streams from looking complete to callers of HTTP/1.0

A stream that a gateway or an entry cuts off, at its exit or since the backend broke off, looked complete to a caller of HTTP/1.0. Found while reading all places where an answer without a length ends.

Cause: such a caller is sent no chunks, and an orderly close ends the body.

Change: a gateway resets the connection of such a caller unless the response has ended; the option is set on the socket, so that it holds at the exit of the process as well. An entry, which does not have the socket, sends such a caller the verified response as a whole.

Evidence: unframed_streams.rs old_caller failed before ("data: piece 2" and an orderly end), entry_stop.rs cut_stream_of_old_caller failed without its line; both pass now.

--- a/daemon/src/caller_stream.rs
+++ b/daemon/src/caller_stream.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use currantlink_core::memory_budget::Phase;
 use socket2::SockRef;
@@ -54,6 +55,14 @@
         }
     }
 
+    /// Sets whether the connection is reset if it is closed, also by the end of the process.
+    pub fn set_reset_on_close(&self, is_reset: bool) {
+        let linger = is_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.0.stream).set_linger(linger) {
+            log::debug!(error:% = error; "failed to set how a connection is closed");
+        }
+    }
+
     /// Waits until the caller closes the connection, although bytes may be unread.
     pub async fn closed_by_caller(&self) {
         // Of the events that a socket is registered for, this interest covers only the end of the
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -195,10 +195,12 @@
     let view = entry.control.view.load_full();
     let prepared =
         prepare(&entry, &view, &context, service, ticket.as_deref(), generated_id, build_call);
-    let (call, needs_ticket) = match prepared {
+    let (mut call, needs_ticket) = match prepared {
         Ok(prepared) => prepared,
         Err(rejection) => return rejection.with_ticket(ticket.is_some()).respond(&id),
     };
+    // A response without chunks would look complete wherever it ends.
+    call.streamed &= context.request.version() > http::Version::HTTP_10;
     let service_view = match linked_service(&entry, &view, &call).await {
         Some(service_view) => service_view,
         None => {
--- a/daemon/src/ingress.rs
+++ b/daemon/src/ingress.rs
@@ -9,7 +9,7 @@
 
 use currantlink_core::memory_budget::Phase as BudgetPhase;
 use currantlink_platform::names;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -207,6 +207,10 @@
     let stream = InspectReader::new(stream, move |bytes: &[u8]| received.record_received(bytes));
     let (service_gateway, service_connection) = (Rc::clone(&gateway), budgeted.clone());
     let service = service_fn(move |request: Request<Incoming>| {
+        if request.version() < Version::HTTP_11 {
+            // A response without chunks looks complete if its connection is closed in order.
+            service_caller.set_reset_on_close(true);
+        }
         let active = ActiveRequest::begin(&service_activity, &service_caller);
         let (gateway, connection) = (Rc::clone(&service_gateway), service_connection.clone());
         let activity = Rc::clone(&service_activity);
@@ -229,6 +233,9 @@
             // A request that has arrived is read before the connection may be closed.
             biased;
             done = &mut connection => {
+                if done.is_ok() {
+                    caller.set_reset_on_close(false);
+                }
                 match done {
                     Ok(()) if activity.is_rejected.get() && !gateway.is_stopping() => {
                         linger(&mut caller).await;
--- a/daemon/tests/entry_stop.rs
+++ b/daemon/tests/entry_stop.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use common::{System, Topology, until};
 use currantlink_daemon::call::{CallBody, CallResponse};
@@ -59,6 +60,39 @@
     }
 }
 
+/// Guards against a stream that is cut off and looks complete to a caller of HTTP/1.0, which is sent no
+/// chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream_of_old_caller() {
+    for is_cut in [false, true] {
+        let system = engine().await;
+        let address = system.entry_urls[0].trim_start_matches("http://");
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let body = r#"{"prompt": "long", "max_tokens": 200, "stream": true}"#;
+        let request = format!(
+            "POST /v1/models/llm/completions HTTP/1.0\r\nhost: a\r\nauthorization: Bearer {}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            common::TOKEN,
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let group = system.group.clone().unwrap();
+        until("the stream runs", || group.record().begun == 1).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if is_cut {
+            system.entries[0].signal(Signal::SIGTERM);
+            system.entries[0].signal(Signal::SIGINT);
+        }
+        let mut received = Vec::new();
+        let end = stream.read_to_end(&mut received).await;
+        let received = String::from_utf8_lossy(&received);
+        let is_whole = received.ends_with("data: [DONE]\n\n");
+        assert!(is_whole || is_cut, "{received}");
+        let looks_complete = end.is_ok() && received.starts_with("HTTP/1.0 200");
+        assert_eq!(looks_complete, is_whole, "{received}");
+    }
+}
+
 /// The task that fills a body is dropped, for example at the forced end of the process.
 #[tokio::test]
 async fn body_without_source() {
--- a/daemon/tests/unframed_streams.rs
+++ b/daemon/tests/unframed_streams.rs
@@ -5,7 +5,11 @@
 mod harness;
 
 use currantlink_standins::backends::Fault;
-use currantlink_standins::deployment::{Deployment, RESUMABLE, STREAM, Shape};
+use currantlink_standins::deployment::{
+    ClientRequest, Deployment, RESUMABLE, STREAM, Shape, encode_request,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const EVENTS: u64 = 5;
 
@@ -55,3 +59,21 @@
         }
     }
 }
+
+/// Guards against a stream that is cut off and looks complete to a caller of HTTP/1.0, which is sent no
+/// chunks.
+#[tokio::test]
+async fn old_caller() {
+    for (fault, is_complete) in [(Fault::None, true), (Fault::TruncateAfter(2), false)] {
+        let (deployment, _directory) = start(fault).await;
+        let request = encode_request(&ClientRequest::new("POST", STREAM, "r-1"));
+        let request = String::from_utf8(request).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+        let mut stream = TcpStream::connect(deployment.gateways[0].callers).await.unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut received = Vec::new();
+        let end = stream.read_to_end(&mut received).await;
+        let received = String::from_utf8_lossy(&received);
+        assert_eq!(end.is_ok(), is_complete, "{fault:?}: {received}");
+        assert_eq!(received.ends_with(&all_events()), is_complete, "{received}");
+    }
+}
