--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -217,7 +217,7 @@
     ];
     let index = rng.random_range(0..SHAPE.gateways + SHAPE.ranks as usize);
     let process = processes(deployment).nth(index);
-    match (rng.random_range(0..9), process) {
+    match (rng.random_range(0..10), process) {
         (0, _) => deployment.records.set_health(health[rng.random_range(0..health.len())]),
         (1, _) => deployment.records.set_delay(Duration::from_millis(rng.random_range(0..300))),
         (2, _) => deployment.records.truncate(),
@@ -235,6 +235,11 @@
         (5, Some(process)) => process.kill(),
         (6, Some(process)) => signal(process, Signal::SIGTERM)?,
         (7, Some(process)) => signal(process, Signal::SIGHUP)?,
+        (8, _) => {
+            // An entry of another writer, of a service that the configuration does not name.
+            let address = deployment.plain_addresses[rng.random_range(0..SHAPE.plain_backends)];
+            deployment.register("metrics", "host-metrics", address, "ready");
+        }
         (_, Some(process)) => {
             signal(process, Signal::SIGSTOP)?;
             let until = Instant::now() + Duration::from_millis(rng.random_range(50..2_000));
