Take a process's own address over that of a record with its incarnation

Found by a test of records of other writers in the topic of the processes: a copy of a process's record with another address was believed even after the process's own hello message, so it got no messages until the copy was evicted.

Cause: a hello message replaces what is known only if it names another incarnation. Change: also if it comes with another address. Without such a record nothing changes, as a process keeps its address.

Evidence: core/tests/membership.rs record_under_other_name fails without the change (incarnation 2, the record of the other writer first) and passes with it. daemon/tests/odd_entries.rs odd_peers plays odd records in the topics of processes and leaders with processes that start again; it held before as well.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -141,7 +141,8 @@
         }
         let is_hello = origin != Origin::Store;
         let is_superseded = |known: &Member| {
-            known.peer.incarnation != peer.incarnation && (is_hello || known.heard_ms.is_none())
+            let is_same = known.peer.incarnation == peer.incarnation && known.address == address;
+            !is_same && (is_hello || known.heard_ms.is_none())
         };
         let is_new = self.members.get(&peer.name).is_none_or(is_superseded);
         let name = peer.name.clone();
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -260,3 +260,24 @@
     let alive: Vec<_> = membership.alive(100, Role::Gateway).collect();
     assert_eq!(alive, [(&peer(1, Role::Gateway, 2), address(1))]);
 }
+
+/// Guards against a record of another writer under the name of a process that has not been heard yet: the
+/// hello message of the process counts.
+#[test]
+fn record_under_other_name() {
+    for incarnation in [1, 2, 3] {
+        for is_first in [false, true] {
+            let mut membership = Membership::new(peer(0, Role::Gateway, 1));
+            let own = (peer(1, Role::Agent, 2), address(1));
+            let other = (peer(1, Role::Agent, incarnation), address(2));
+            let records = if is_first { [other, own] } else { [own, other] };
+            for (peer, address) in records {
+                membership.register(0, peer, address, Origin::Store).unwrap();
+            }
+            let origin = Origin::Hello { group: "", wants_response: true, receiver_incarnation: 0 };
+            membership.register(100, peer(1, Role::Agent, 2), address(1), origin).unwrap();
+            let alive: Vec<_> = membership.alive(100, Role::Agent).map(|(_, at)| at).collect();
+            assert_eq!(alive, [address(1)], "incarnation {incarnation}, first {is_first}");
+        }
+    }
+}
--- a/daemon/tests/odd_entries.rs
+++ b/daemon/tests/odd_entries.rs
@@ -1,4 +1,5 @@
-//! Entries of another writer in the list of backends: they name no backend, and the others hold.
+//! Entries of another writer in the list of backends and in the topics of the processes: they name no
+//! backend and no process, and the others hold.
 
 #![allow(clippy::unwrap_used)]
 
@@ -9,6 +10,8 @@
 use currantlink_standins::deployment::{
     self, ClientRequest, Deployment, IDEMPOTENT, Shape, wait_until,
 };
+use currantlink_wire::peers::{Peer, Role};
+use prost::Message;
 
 fn put_odd_entries(deployment: &Deployment) {
     let deep = format!("{}1{}", "[".repeat(50_000), "]".repeat(50_000));
@@ -193,3 +196,39 @@
         reaches_all(&deployment).await;
     }
 }
+
+/// Guards against records of another writer in the processes' own topics that keep processes which start
+/// later from serving.
+#[tokio::test]
+async fn odd_peers() {
+    let shape = Shape { gateways: 2, ranks: 2, plain_backends: 1, ..Shape::default() };
+    let (mut deployment, _directory) = harness::start_streaming(shape).await;
+    let peer = |name: &str, role: Role| Peer {
+        name: name.into(),
+        role: role.into(),
+        incarnation: 1,
+        address: "127.0.0.1:9".into(),
+        failure_domain: "a".into(),
+        backend_address: deployment.plain_addresses[0].to_string(),
+    };
+    let others = [
+        ("agent-0", peer("agent-0", Role::Agent).encode_to_vec()),
+        ("gateway-1", peer("gateway-1", Role::Gateway).encode_to_vec()),
+        ("stranger", peer("stranger", Role::Gateway).encode_to_vec()),
+        ("agent-1", b"\xff\xfe".to_vec()),
+        ("", b"{}".to_vec()),
+    ];
+    for (key, value) in &others {
+        deployment.records.put(names::PEERS_TOPIC, key, value);
+    }
+    deployment.records.put(names::LEADERS_TOPIC, "stranger", b"{}");
+    for index in 0..2 {
+        for process in [&mut deployment.gateways[index].process, &mut deployment.agents[index]] {
+            process.kill();
+            process.start().unwrap();
+        }
+        deployment.wait_until_ready().await;
+        harness::wait_until_streaming(&deployment).await;
+        reaches_all(&deployment).await;
+    }
+}
